Query: core types, the query state machine, and the build

The folders, the core types and the state machine that pins a query to one

budget and decides a truthful outcome. Decisions take time, random numbers and upstreams through interfaces and know nothing of HTTP, cereal or ACE.

--- /dev/null
+++ b/Source/Common/Error.h
@@ -0,0 +1,24 @@
+#ifndef ACACIACROSS_COMMON_ERROR_H
+#define ACACIACROSS_COMMON_ERROR_H
+
+#include "Common/ResultCode.h"
+
+#include <stdexcept>
+#include <string>
+
+namespace acaciacross::common {
+
+/// Base of the exceptions of this project.
+class Error : public std::runtime_error {
+public:
+  Error(ResultCode Number, const std::string &Message);
+
+  ResultCode code() const;
+
+private:
+  ResultCode Code;
+};
+
+} // namespace acaciacross::common
+
+#endif
--- /dev/null
+++ b/Source/Common/LogEvent.cpp
@@ -0,0 +1,100 @@
+#include "Common/LogEvent.h"
+
+#include <array>
+
+namespace acaciacross::common {
+
+namespace {
+
+constexpr std::array AllEvents = {
+    LogEvent::ProcessStarted,
+    LogEvent::ProcessStopping,
+    LogEvent::ProcessStopped,
+    LogEvent::PauseDetected,
+    LogEvent::SettingsRefused,
+    LogEvent::ConfigurationAccepted,
+    LogEvent::ConfigurationRefused,
+    LogEvent::ConfigurationServiceUnavailable,
+    LogEvent::ConfigurationServiceStale,
+    LogEvent::ConfigurationPulled,
+    LogEvent::ReaderChanged,
+    LogEvent::PeerJoined,
+    LogEvent::PeerLeaving,
+    LogEvent::PeerLost,
+    LogEvent::PeerRestarted,
+    LogEvent::VmListUnavailable,
+    LogEvent::SearcherEjected,
+    LogEvent::SearcherRestored,
+    LogEvent::SearcherLeaving,
+    LogEvent::SearcherWarming,
+    LogEvent::EjectionSuppressed,
+    LogEvent::RequestRefused,
+    LogEvent::RequestFailed,
+    LogEvent::ReplyDiscarded,
+    LogEvent::SnapshotRestarted,
+    LogEvent::MessageDropped,
+};
+
+} // namespace
+
+std::string_view logEventName(LogEvent Event) {
+  switch (Event) {
+  case LogEvent::ProcessStarted:
+    return "ProcessStarted";
+  case LogEvent::ProcessStopping:
+    return "ProcessStopping";
+  case LogEvent::ProcessStopped:
+    return "ProcessStopped";
+  case LogEvent::PauseDetected:
+    return "PauseDetected";
+  case LogEvent::SettingsRefused:
+    return "SettingsRefused";
+  case LogEvent::ConfigurationAccepted:
+    return "ConfigurationAccepted";
+  case LogEvent::ConfigurationRefused:
+    return "ConfigurationRefused";
+  case LogEvent::ConfigurationServiceUnavailable:
+    return "ConfigurationServiceUnavailable";
+  case LogEvent::ConfigurationServiceStale:
+    return "ConfigurationServiceStale";
+  case LogEvent::ConfigurationPulled:
+    return "ConfigurationPulled";
+  case LogEvent::ReaderChanged:
+    return "ReaderChanged";
+  case LogEvent::PeerJoined:
+    return "PeerJoined";
+  case LogEvent::PeerLeaving:
+    return "PeerLeaving";
+  case LogEvent::PeerLost:
+    return "PeerLost";
+  case LogEvent::PeerRestarted:
+    return "PeerRestarted";
+  case LogEvent::VmListUnavailable:
+    return "VmListUnavailable";
+  case LogEvent::SearcherEjected:
+    return "SearcherEjected";
+  case LogEvent::SearcherRestored:
+    return "SearcherRestored";
+  case LogEvent::SearcherLeaving:
+    return "SearcherLeaving";
+  case LogEvent::SearcherWarming:
+    return "SearcherWarming";
+  case LogEvent::EjectionSuppressed:
+    return "EjectionSuppressed";
+  case LogEvent::RequestRefused:
+    return "RequestRefused";
+  case LogEvent::RequestFailed:
+    return "RequestFailed";
+  case LogEvent::ReplyDiscarded:
+    return "ReplyDiscarded";
+  case LogEvent::SnapshotRestarted:
+    return "SnapshotRestarted";
+  case LogEvent::MessageDropped:
+    return "MessageDropped";
+  }
+  return "Unknown";
+}
+
+std::span<const LogEvent> allLogEvents() { return AllEvents; }
+
+} // namespace acaciacross::common
--- /dev/null
+++ b/Source/Common/LogEvent.h
@@ -0,0 +1,55 @@
+#ifndef ACACIACROSS_COMMON_LOGEVENT_H
+#define ACACIACROSS_COMMON_LOGEVENT_H
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace acaciacross::common {
+
+/// Numbered log events; docs/EVENTS.md is the catalogue. The hundreds group
+/// them: 1xx process, 2xx configuration, 3xx fleet, 4xx upstreams, 5xx
+/// requests, 6xx messages. A number is never used again.
+enum class LogEvent : std::uint16_t {
+  ProcessStarted = 100,
+  ProcessStopping = 101,
+  ProcessStopped = 102,
+  PauseDetected = 103,
+  SettingsRefused = 104,
+
+  ConfigurationAccepted = 200,
+  ConfigurationRefused = 201,
+  ConfigurationServiceUnavailable = 202,
+  ConfigurationServiceStale = 203,
+  ConfigurationPulled = 204,
+  ReaderChanged = 205,
+
+  PeerJoined = 300,
+  PeerLeaving = 301,
+  PeerLost = 302,
+  PeerRestarted = 303,
+  VmListUnavailable = 304,
+
+  SearcherEjected = 400,
+  SearcherRestored = 401,
+  SearcherLeaving = 402,
+  SearcherWarming = 403,
+  EjectionSuppressed = 404,
+
+  RequestRefused = 500,
+  RequestFailed = 501,
+  ReplyDiscarded = 502,
+  SnapshotRestarted = 503,
+
+  MessageDropped = 600,
+};
+
+/// Name as written in the enumeration; "Unknown" for other numbers.
+std::string_view logEventName(LogEvent Event);
+
+/// Every event, in ascending order.
+std::span<const LogEvent> allLogEvents();
+
+} // namespace acaciacross::common
+
+#endif
--- /dev/null
+++ b/Source/Common/StrongId.h
@@ -0,0 +1,32 @@
+#ifndef ACACIACROSS_COMMON_STRONGID_H
+#define ACACIACROSS_COMMON_STRONGID_H
+
+#include <compare>
+#include <functional>
+#include <utility>
+
+namespace acaciacross::common {
+
+/// An identifier that does not convert to identifiers of another Tag.
+template <typename Tag, typename Representation> struct StrongId {
+  using ValueType = Representation;
+
+  Representation Value{};
+
+  StrongId() = default;
+  explicit StrongId(Representation Initial) : Value(std::move(Initial)) {}
+
+  auto operator<=>(const StrongId &) const = default;
+};
+
+} // namespace acaciacross::common
+
+template <typename Tag, typename Representation>
+struct std::hash<acaciacross::common::StrongId<Tag, Representation>> {
+  std::size_t operator()(
+      const acaciacross::common::StrongId<Tag, Representation> &Id) const {
+    return std::hash<Representation>()(Id.Value);
+  }
+};
+
+#endif
--- /dev/null
+++ b/Source/Configuration/ClassDefinition.h
@@ -0,0 +1,32 @@
+#ifndef ACACIACROSS_CONFIGURATION_CLASSDEFINITION_H
+#define ACACIACROSS_CONFIGURATION_CLASSDEFINITION_H
+
+#include "Common/Identifiers.h"
+
+#include <chrono>
+
+namespace acaciacross::configuration {
+
+/// A class of work with the targets that operators give it.
+struct ClassDefinition {
+  common::ClassName Name;
+  common::ServiceName Service;
+
+  /// Latency that TargetPercentile of the answers stay within.
+  std::chrono::milliseconds LatencyTarget{0};
+  /// In percent, between 50 and 99.9.
+  double TargetPercentile = 99.0;
+
+  /// Fraction of the documents that an answer covers, in (0, 1].
+  double CoverageTarget = 1.0;
+
+  /// Extra attempts per first attempt, in [0, 1].
+  double ExtraLoadTarget = 0.0;
+
+  /// False when the request may run at most once.
+  bool Repeatable = true;
+};
+
+} // namespace acaciacross::configuration
+
+#endif
--- /dev/null
+++ b/Source/Control/ControlView.h
@@ -0,0 +1,36 @@
+#ifndef ACACIACROSS_CONTROL_CONTROLVIEW_H
+#define ACACIACROSS_CONTROL_CONTROLVIEW_H
+
+#include "Common/Time.h"
+#include "Configuration/ClassDefinition.h"
+#include "Configuration/DeploymentBudget.h"
+#include "Membership/ServingState.h"
+#include "Query/ServiceView.h"
+#include "Routing/AddressCandidate.h"
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace acaciacross::control {
+
+/// Immutable copy of what traffic threads and the front end need of the control
+/// state.
+struct ControlView {
+  common::MonotonicTime PublishedAt;
+  /// Highest revision in effect.
+  common::Revision InEffect;
+  membership::ServingState State = membership::ServingState::Joining;
+
+  configuration::DeploymentBudget Budget;
+  std::map<common::ClassName, configuration::ClassDefinition> Classes;
+  std::map<common::ServiceName, std::shared_ptr<const query::ServiceView>>
+      Services;
+
+  /// This VM first, then peers with evidence.
+  std::vector<routing::AddressCandidate> EntryVms;
+};
+
+} // namespace acaciacross::control
+
+#endif
--- /dev/null
+++ b/Source/Query/AttemptResult.h
@@ -0,0 +1,26 @@
+#ifndef ACACIACROSS_QUERY_ATTEMPTRESULT_H
+#define ACACIACROSS_QUERY_ATTEMPTRESULT_H
+
+#include "Query/AttemptStatus.h"
+#include "Query/ShardReply.h"
+
+#include <chrono>
+#include <optional>
+
+namespace acaciacross::query {
+
+/// End of an attempt.
+struct AttemptResult {
+  common::AttemptId Attempt;
+  AttemptStatus Status = AttemptStatus::Lost;
+  /// Set when Status is Answered.
+  std::optional<ShardReply> Reply;
+  /// From the start of the attempt to its end.
+  std::chrono::nanoseconds Elapsed{0};
+  /// The searcher said that it is leaving.
+  bool Draining = false;
+};
+
+} // namespace acaciacross::query
+
+#endif
--- /dev/null
+++ b/Source/Query/CompleteAnswer.h
@@ -0,0 +1,18 @@
+#ifndef ACACIACROSS_QUERY_COMPLETEANSWER_H
+#define ACACIACROSS_QUERY_COMPLETEANSWER_H
+
+#include "Query/ShardAnswer.h"
+
+#include <vector>
+
+namespace acaciacross::query {
+
+/// All shards of one snapshot answered.
+struct CompleteAnswer {
+  common::SnapshotId Snapshot;
+  std::vector<ShardAnswer> Parts;
+};
+
+} // namespace acaciacross::query
+
+#endif
--- /dev/null
+++ b/Source/Query/Failure.h
@@ -0,0 +1,15 @@
+#ifndef ACACIACROSS_QUERY_FAILURE_H
+#define ACACIACROSS_QUERY_FAILURE_H
+
+#include "Common/ResultCode.h"
+
+namespace acaciacross::query {
+
+/// No answer, and an upstream may have started the work.
+struct Failure {
+  common::ResultCode Code = common::ResultCode::AttemptLost;
+};
+
+} // namespace acaciacross::query
+
+#endif
--- /dev/null
+++ b/Source/Query/MissingShard.h
@@ -0,0 +1,17 @@
+#ifndef ACACIACROSS_QUERY_MISSINGSHARD_H
+#define ACACIACROSS_QUERY_MISSINGSHARD_H
+
+#include "Common/Identifiers.h"
+#include "Common/KeyRange.h"
+
+namespace acaciacross::query {
+
+/// A part of the snapshot that an answer does not cover.
+struct MissingShard {
+  common::ShardId Shard;
+  common::KeyRange Range;
+};
+
+} // namespace acaciacross::query
+
+#endif
--- /dev/null
+++ b/Source/Query/QueryExecution.cpp
@@ -0,0 +1,424 @@
+#include "Query/QueryExecution.h"
+
+#include "Query/SnapshotSelector.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace acaciacross::query {
+
+namespace {
+
+// A replica below its quota frees up when an attempt on it ends, and the budget
+// grows with other queries; both are looked at again after this time.
+constexpr std::chrono::milliseconds RetryBackoff{5};
+
+// Two attempts at a time are enough to get past one slow replica.
+constexpr std::size_t MaxRunningPerShard = 2;
+
+template <typename Container, typename Value>
+bool contains(const Container &Values, const Value &Wanted) {
+  return std::find(Values.begin(), Values.end(), Wanted) != Values.end();
+}
+
+} // namespace
+
+QueryExecution::QueryExecution(QueryRequest Accepted,
+                               std::shared_ptr<const ServiceView> View,
+                               QueryDependencies Used)
+    : Request(std::move(Accepted)), Service(std::move(View)),
+      Dependencies(Used) {}
+
+void QueryExecution::start(common::MonotonicTime Now) {
+  if (Now >= this->Request.Deadline) {
+    this->finish(common::ResultCode::DeadlineTooShort);
+    return;
+  }
+  if (!this->pinSnapshot()) {
+    this->finish(common::ResultCode::NoUsableSnapshot);
+    return;
+  }
+  for (std::size_t Shard = 0; Shard < this->Shards.size(); ++Shard)
+    this->tryAttempt(Shard, Now);
+  this->finishIfDone(Now);
+}
+
+void QueryExecution::onAttemptEnded(const AttemptResult &Result,
+                                    common::MonotonicTime Now) {
+  const auto Known = this->ShardOfAttempt.find(Result.Attempt);
+  if (Known == this->ShardOfAttempt.end())
+    return;
+  const std::size_t Shard = Known->second;
+  this->ShardOfAttempt.erase(Known);
+
+  ShardProgress &Progress = this->Shards[Shard];
+  const auto Ended = std::find_if(
+      Progress.Running.begin(), Progress.Running.end(),
+      [&](const RunningAttempt &Each) { return Each.Id == Result.Attempt; });
+  const RunningAttempt Attempt = *Ended;
+  Progress.Running.erase(Ended);
+  this->Dependencies.Replicas.onAttemptEnded(
+      this->Service->Searchers[Attempt.SearcherPosition].Index);
+
+  if (Result.Status == AttemptStatus::Answered &&
+      this->isValidReply(Shard, Attempt, Result))
+    this->acceptReply(Shard, Attempt, Result);
+  else
+    this->handleLoss(Shard, Attempt, Result.Status, Now);
+  this->finishIfDone(Now);
+}
+
+void QueryExecution::onTimer(common::MonotonicTime Now) {
+  if (this->isFinished())
+    return;
+  // Checked before anything is sent: a process that was paused may come here
+  // long after the timer was due.
+  if (Now >= this->Request.Deadline) {
+    this->finish(common::ResultCode::DeadlinePassed);
+    return;
+  }
+  for (std::size_t Shard = 0; Shard < this->Shards.size(); ++Shard) {
+    const ShardProgress &Progress = this->Shards[Shard];
+    if (Progress.RetryAt && Now >= *Progress.RetryAt)
+      this->tryAttempt(Shard, Now);
+    else if (Progress.HedgeAt && Now >= *Progress.HedgeAt)
+      this->tryHedge(Shard, Now);
+  }
+  this->finishIfDone(Now);
+}
+
+common::MonotonicTime QueryExecution::nextTimer() const {
+  common::MonotonicTime Next = this->Request.Deadline;
+  const bool IsTargetAhead =
+      this->Tally && (this->Tally->coverage() >= this->Request.CoverageTarget ||
+                      !this->isAnythingRunning());
+  if (IsTargetAhead)
+    Next = std::min(Next, this->Request.LatencyTarget);
+  for (const ShardProgress &Progress : this->Shards) {
+    if (Progress.HedgeAt)
+      Next = std::min(Next, *Progress.HedgeAt);
+    if (Progress.RetryAt)
+      Next = std::min(Next, *Progress.RetryAt);
+  }
+  return Next;
+}
+
+void QueryExecution::abort(common::ResultCode Reason) {
+  if (!this->isFinished())
+    this->finish(Reason);
+}
+
+bool QueryExecution::isFinished() const { return this->Decided.has_value(); }
+
+const Outcome &QueryExecution::outcome() const { return *this->Decided; }
+
+const QueryRequest &QueryExecution::request() const { return this->Request; }
+
+const QueryStatistics &QueryExecution::statistics() const {
+  return this->Statistics;
+}
+
+const SnapshotView &QueryExecution::snapshot() const {
+  return this->Service->Snapshots[this->SnapshotPosition];
+}
+
+bool QueryExecution::pinSnapshot() {
+  const std::optional<std::size_t> Chosen =
+      SnapshotSelector().select(*this->Service, this->LostSnapshots);
+  if (!Chosen)
+    return false;
+  this->SnapshotPosition = *Chosen;
+  this->Tally.emplace(this->snapshot());
+  this->Shards.assign(this->snapshot().Shards.size(), ShardProgress());
+  return true;
+}
+
+void QueryExecution::tryAttempt(std::size_t Shard, common::MonotonicTime Now) {
+  ShardProgress &Progress = this->Shards[Shard];
+  Progress.RetryAt.reset();
+
+  std::vector<std::uint32_t> Excluded = Progress.Dropped;
+  Excluded.insert(Excluded.end(), Progress.Tried.begin(), Progress.Tried.end());
+  const std::optional<std::uint32_t> Replica =
+      this->Dependencies.Replicas.select(
+          *this->Service, this->snapshot().Shards[Shard], Excluded);
+  if (!Replica) {
+    this->beginNextRound(Progress, Now);
+    return;
+  }
+  if (!this->payForAttempt(Progress)) {
+    Progress.RetryAt = Now + RetryBackoff;
+    return;
+  }
+  this->startAttempt(Shard, *Replica, false, Now);
+}
+
+// Replicas that shed or lost an attempt may be asked again after a while; those
+// that refused a connection or lack the snapshot may not.
+void QueryExecution::beginNextRound(ShardProgress &Progress,
+                                    common::MonotonicTime Now) {
+  const std::size_t Shard =
+      static_cast<std::size_t>(&Progress - this->Shards.data());
+  const ShardView &View = this->snapshot().Shards[Shard];
+  if (Progress.Dropped.size() >= View.Replicas.size()) {
+    Progress.IsGivenUp = true;
+    return;
+  }
+  Progress.Tried.clear();
+  Progress.RetryAt = Now + RetryBackoff;
+}
+
+bool QueryExecution::payForAttempt(ShardProgress &Progress) {
+  if (Progress.IsFirstAttemptDue) {
+    Progress.IsFirstAttemptDue = false;
+    this->Dependencies.Budget.onFirstAttempt();
+    ++this->Statistics.FirstAttempts;
+    return true;
+  }
+  if (Progress.IsReplacementFree) {
+    Progress.IsReplacementFree = false;
+    ++this->Statistics.FreeReplacements;
+    return true;
+  }
+  if (!this->Dependencies.Budget.tryWithdraw(1))
+    return false;
+  ++this->Statistics.ExtraAttempts;
+  return true;
+}
+
+void QueryExecution::startAttempt(std::size_t Shard,
+                                  std::uint32_t SearcherPosition, bool IsHedge,
+                                  common::MonotonicTime Now) {
+  const SearcherView &Searcher = this->Service->Searchers[SearcherPosition];
+  AttemptSpec Spec;
+  Spec.Id = this->Dependencies.Ids.next();
+  Spec.Searcher = Searcher.Index;
+  Spec.Endpoint = Searcher.Endpoint;
+  Spec.Request = this->Request.Id;
+  Spec.Class = this->Request.Class;
+  Spec.Snapshot = this->snapshot().Id;
+  Spec.Shard = this->snapshot().Shards[Shard].Id;
+  Spec.Deadline = this->Request.Deadline;
+  Spec.WallDeadline = this->Request.WallDeadline;
+  Spec.Repeatable = this->Request.Repeatable;
+  Spec.Body = this->Request.Body;
+
+  ShardProgress &Progress = this->Shards[Shard];
+  Progress.Running.push_back({Spec.Id, SearcherPosition, IsHedge});
+  Progress.Tried.push_back(SearcherPosition);
+  Progress.HedgeAt.reset();
+  this->ShardOfAttempt.emplace(Spec.Id, Shard);
+  this->Dependencies.Replicas.onAttemptStarted(Searcher.Index);
+
+  const auto HedgeDelay = this->Dependencies.Hedging.delay();
+  if (this->Request.Repeatable && !IsHedge && HedgeDelay)
+    Progress.HedgeAt =
+        Now + std::chrono::duration_cast<common::MonotonicTime::duration>(
+                  *HedgeDelay);
+  this->Dependencies.Port.start(Spec);
+}
+
+void QueryExecution::tryHedge(std::size_t Shard, common::MonotonicTime Now) {
+  ShardProgress &Progress = this->Shards[Shard];
+  Progress.HedgeAt.reset();
+  if (Progress.Running.empty() || Progress.Running.size() >= MaxRunningPerShard)
+    return;
+
+  std::vector<std::uint32_t> Excluded = Progress.Dropped;
+  Excluded.insert(Excluded.end(), Progress.Tried.begin(), Progress.Tried.end());
+  const std::optional<std::uint32_t> Replica =
+      this->Dependencies.Replicas.select(
+          *this->Service, this->snapshot().Shards[Shard], Excluded);
+  if (!Replica || !this->Dependencies.Budget.tryWithdraw(1)) {
+    Progress.HedgeAt = Now + RetryBackoff;
+    return;
+  }
+  ++this->Statistics.ExtraAttempts;
+  ++this->Statistics.Hedges;
+  this->startAttempt(Shard, *Replica, true, Now);
+}
+
+void QueryExecution::cancelRunning(ShardProgress &Progress) {
+  for (const RunningAttempt &Attempt : Progress.Running) {
+    this->ShardOfAttempt.erase(Attempt.Id);
+    this->Dependencies.Replicas.onAttemptEnded(
+        this->Service->Searchers[Attempt.SearcherPosition].Index);
+    this->Dependencies.Port.cancel(Attempt.Id);
+    this->MayHaveRun = true;
+    ++this->Statistics.CancelledAttempts;
+  }
+  Progress.Running.clear();
+}
+
+bool QueryExecution::isValidReply(std::size_t Shard,
+                                  const RunningAttempt &Attempt,
+                                  const AttemptResult &Result) const {
+  if (!Result.Reply)
+    return false;
+  const ShardView &Wanted = this->snapshot().Shards[Shard];
+  return Result.Reply->Attempt == Attempt.Id &&
+         Result.Reply->Snapshot == this->snapshot().Id &&
+         Result.Reply->Shard == Wanted.Id &&
+         Result.Reply->Range == Wanted.Range;
+}
+
+void QueryExecution::acceptReply(std::size_t Shard,
+                                 const RunningAttempt &Attempt,
+                                 const AttemptResult &Result) {
+  ShardProgress &Progress = this->Shards[Shard];
+  this->MayHaveRun = true;
+  if (Attempt.IsHedge)
+    ++this->Statistics.HedgesWon;
+  this->cancelRunning(Progress);
+  Progress.IsAnswered = true;
+  Progress.Body = Result.Reply->Body;
+  Progress.HedgeAt.reset();
+  Progress.RetryAt.reset();
+  this->Tally->markAnswered(Shard);
+  this->Dependencies.Hedging.onReply(Result.Elapsed);
+}
+
+void QueryExecution::handleLoss(std::size_t Shard,
+                                const RunningAttempt &Attempt,
+                                AttemptStatus Status,
+                                common::MonotonicTime Now) {
+  ShardProgress &Progress = this->Shards[Shard];
+  if (Status == AttemptStatus::Answered)
+    ++this->Statistics.DiscardedReplies;
+  if (!provesNotRun(Status))
+    this->MayHaveRun = true;
+
+  const bool IsHoldingNothing = Status == AttemptStatus::SnapshotGone ||
+                                Status == AttemptStatus::ShardGone;
+  if (Status == AttemptStatus::NotSent || IsHoldingNothing)
+    Progress.Dropped.push_back(Attempt.SearcherPosition);
+  Progress.IsReplacementFree = Status == AttemptStatus::NotSent;
+  Progress.IsSnapshotLost = Progress.IsSnapshotLost || IsHoldingNothing;
+
+  if (!Progress.Running.empty())
+    return;
+  Progress.HedgeAt.reset();
+  const bool IsExpired = Status == AttemptStatus::ExpiredBeforeStart ||
+                         Now >= this->Request.Deadline;
+  const bool IsRepeatForbidden =
+      !this->Request.Repeatable && !provesNotRun(Status);
+  if (IsExpired || IsRepeatForbidden) {
+    Progress.IsGivenUp = true;
+    return;
+  }
+  this->tryAttempt(Shard, Now);
+  if (Progress.IsGivenUp && Progress.IsSnapshotLost)
+    this->tryRestart(Now);
+}
+
+bool QueryExecution::tryRestart(common::MonotonicTime Now) {
+  // A restart runs every shard again, so that it is open to a request that may
+  // not be repeated only while nothing of it can have run.
+  const bool IsRunning = this->isAnythingRunning();
+  if (!this->Request.Repeatable && (this->MayHaveRun || IsRunning))
+    return false;
+
+  std::vector<common::SnapshotId> Lost = this->LostSnapshots;
+  Lost.push_back(this->snapshot().Id);
+  const std::optional<std::size_t> Next =
+      SnapshotSelector().select(*this->Service, Lost);
+  if (!Next)
+    return false;
+  const auto Cost =
+      static_cast<std::uint32_t>(this->Service->Snapshots[*Next].Shards.size());
+  if (!this->Dependencies.Budget.tryWithdraw(Cost))
+    return false;
+
+  for (ShardProgress &Progress : this->Shards)
+    this->cancelRunning(Progress);
+  this->LostSnapshots = std::move(Lost);
+  this->pinSnapshot();
+  ++this->Statistics.Restarts;
+  this->Statistics.ExtraAttempts += Cost;
+  for (std::size_t Shard = 0; Shard < this->Shards.size(); ++Shard) {
+    this->Shards[Shard].IsFirstAttemptDue = false;
+    this->Shards[Shard].IsReplacementFree = true;
+    this->tryAttempt(Shard, Now);
+  }
+  return true;
+}
+
+bool QueryExecution::isAnythingRunning() const {
+  return !this->ShardOfAttempt.empty();
+}
+
+bool QueryExecution::isAnythingPending() const {
+  return std::any_of(this->Shards.begin(), this->Shards.end(),
+                     [](const ShardProgress &Progress) {
+                       return !Progress.IsAnswered && !Progress.IsGivenUp;
+                     });
+}
+
+void QueryExecution::finishIfDone(common::MonotonicTime Now) {
+  if (this->isFinished())
+    return;
+  if (!this->isAnythingPending()) {
+    this->finish(Now >= this->Request.Deadline
+                     ? common::ResultCode::DeadlinePassed
+                     : common::ResultCode::NoUsableReplica);
+    return;
+  }
+  if (Now < this->Request.LatencyTarget)
+    return;
+  const bool IsCoveredEnough =
+      this->Tally->coverage() >= this->Request.CoverageTarget;
+  // What only waits for budget or a free replica would hold the answer back.
+  const bool IsWaitingOnly =
+      !this->isAnythingRunning() && this->Tally->coverage() > 0.0;
+  if (IsCoveredEnough || IsWaitingOnly)
+    this->finish(common::ResultCode::PartialCoverage);
+}
+
+void QueryExecution::finish(common::ResultCode Reason) {
+  for (ShardProgress &Progress : this->Shards) {
+    this->cancelRunning(Progress);
+    Progress.HedgeAt.reset();
+    Progress.RetryAt.reset();
+  }
+  this->Decided = this->decideOutcome(Reason);
+}
+
+Outcome QueryExecution::decideOutcome(common::ResultCode Reason) const {
+  if (this->Tally && this->Tally->isComplete()) {
+    CompleteAnswer Answer;
+    Answer.Snapshot = this->snapshot().Id;
+    for (std::size_t Shard = 0; Shard < this->Shards.size(); ++Shard)
+      Answer.Parts.push_back(
+          {this->snapshot().Shards[Shard].Id, this->Shards[Shard].Body});
+    return Answer;
+  }
+  const bool IsAnyAnswered = std::any_of(
+      this->Shards.begin(), this->Shards.end(),
+      [](const ShardProgress &Progress) { return Progress.IsAnswered; });
+  if (IsAnyAnswered)
+    return this->makePartialAnswer();
+  if (!this->MayHaveRun)
+    return Refusal{Reason == common::ResultCode::DeadlinePassed
+                       ? common::ResultCode::DeadlineTooShort
+                       : Reason};
+  return Failure{Reason == common::ResultCode::NoUsableReplica
+                     ? common::ResultCode::AttemptLost
+                     : Reason};
+}
+
+PartialAnswer QueryExecution::makePartialAnswer() const {
+  PartialAnswer Answer;
+  Answer.Snapshot = this->snapshot().Id;
+  Answer.Coverage = this->Tally->coverage();
+  for (std::size_t Shard = 0; Shard < this->Shards.size(); ++Shard) {
+    const ShardView &View = this->snapshot().Shards[Shard];
+    if (this->Shards[Shard].IsAnswered)
+      Answer.Parts.push_back({View.Id, this->Shards[Shard].Body});
+    else
+      Answer.Missing.push_back({View.Id, View.Range});
+  }
+  return Answer;
+}
+
+} // namespace acaciacross::query
--- /dev/null
+++ b/Source/Query/QueryExecution.h
@@ -0,0 +1,95 @@
+#ifndef ACACIACROSS_QUERY_QUERYEXECUTION_H
+#define ACACIACROSS_QUERY_QUERYEXECUTION_H
+
+#include "Query/AttemptResult.h"
+#include "Query/CoverageTally.h"
+#include "Query/Outcome.h"
+#include "Query/QueryDependencies.h"
+#include "Query/QueryRequest.h"
+#include "Query/QueryStatistics.h"
+#include "Query/ServiceView.h"
+#include "Query/ShardProgress.h"
+
+#include <memory>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace acaciacross::query {
+
+/// State machine of one query: pins it to a snapshot, asks one replica per
+/// shard, hedges, retries and restarts within the budget, and decides the
+/// outcome. Driven by one traffic thread.
+class QueryExecution {
+public:
+  QueryExecution(QueryRequest Accepted, std::shared_ptr<const ServiceView> View,
+                 QueryDependencies Used);
+
+  void start(common::MonotonicTime Now);
+
+  /// Ends of attempts that are not this query's are ignored.
+  void onAttemptEnded(const AttemptResult &Result, common::MonotonicTime Now);
+
+  void onTimer(common::MonotonicTime Now);
+
+  /// When onTimer is due; meaningless once finished.
+  common::MonotonicTime nextTimer() const;
+
+  /// Cancels what runs and decides the outcome from what is there.
+  void abort(common::ResultCode Reason);
+
+  bool isFinished() const;
+
+  /// Only once finished.
+  const Outcome &outcome() const;
+
+  const QueryRequest &request() const;
+  const QueryStatistics &statistics() const;
+
+private:
+  const SnapshotView &snapshot() const;
+  bool pinSnapshot();
+
+  void tryAttempt(std::size_t Shard, common::MonotonicTime Now);
+  bool payForAttempt(ShardProgress &Progress);
+  void startAttempt(std::size_t Shard, std::uint32_t SearcherPosition,
+                    bool IsHedge, common::MonotonicTime Now);
+  void tryHedge(std::size_t Shard, common::MonotonicTime Now);
+  void cancelRunning(ShardProgress &Progress);
+
+  bool isValidReply(std::size_t Shard, const RunningAttempt &Attempt,
+                    const AttemptResult &Result) const;
+  void acceptReply(std::size_t Shard, const RunningAttempt &Attempt,
+                   const AttemptResult &Result);
+  void handleLoss(std::size_t Shard, const RunningAttempt &Attempt,
+                  AttemptStatus Status, common::MonotonicTime Now);
+  bool tryRestart(common::MonotonicTime Now);
+  void beginNextRound(ShardProgress &Progress, common::MonotonicTime Now);
+
+  void finishIfDone(common::MonotonicTime Now);
+  bool isAnythingPending() const;
+  bool isAnythingRunning() const;
+  void finish(common::ResultCode Reason);
+  Outcome decideOutcome(common::ResultCode Reason) const;
+  PartialAnswer makePartialAnswer() const;
+
+  QueryRequest Request;
+  std::shared_ptr<const ServiceView> Service;
+  QueryDependencies Dependencies;
+
+  std::vector<common::SnapshotId> LostSnapshots;
+  std::size_t SnapshotPosition = 0;
+  std::optional<CoverageTally> Tally;
+  std::vector<ShardProgress> Shards;
+  std::unordered_map<common::AttemptId, std::size_t> ShardOfAttempt;
+
+  /// An attempt started whose work the upstream may have begun.
+  bool MayHaveRun = false;
+  std::optional<Outcome> Decided;
+  QueryStatistics Statistics;
+};
+
+} // namespace acaciacross::query
+
+#endif
--- /dev/null
+++ b/Source/Query/Refusal.h
@@ -0,0 +1,15 @@
+#ifndef ACACIACROSS_QUERY_REFUSAL_H
+#define ACACIACROSS_QUERY_REFUSAL_H
+
+#include "Common/ResultCode.h"
+
+namespace acaciacross::query {
+
+/// No upstream started the work.
+struct Refusal {
+  common::ResultCode Code = common::ResultCode::Overloaded;
+};
+
+} // namespace acaciacross::query
+
+#endif
--- /dev/null
+++ b/Source/UnitTests/Common/AttemptIdTest.cpp
@@ -0,0 +1,27 @@
+#include "Common/AttemptId.h"
+
+#include <gtest/gtest.h>
+
+namespace acaciacross::common {
+
+class AttemptIdTest : public testing::Test {
+protected:
+  AttemptId Id{Incarnation(0xabcdef), 42};
+};
+
+// A reply is matched to its attempt by this text; a lossy form would let one
+// caller's answer be taken for another's.
+TEST_F(AttemptIdTest, ParseOfItsTextGivesTheSameId) {
+  EXPECT_EQ(AttemptId::parse(this->Id.toString()), this->Id);
+}
+
+TEST_F(AttemptIdTest, ParseOfTextWithTrailingBytesIsRefused) {
+  EXPECT_EQ(AttemptId::parse(this->Id.toString() + "x"), std::nullopt);
+}
+
+TEST_F(AttemptIdTest, ParseOfTextWithoutSequenceIsRefused) {
+  EXPECT_EQ(AttemptId::parse("abcdef"), std::nullopt);
+  EXPECT_EQ(AttemptId::parse("abcdef-"), std::nullopt);
+}
+
+} // namespace acaciacross::common
