Query: restart in one place, on the newest view

Reading the state machine showed three faults. nextTimer could name the latency target after it had passed with nothing covered, so that a traffic thread would loop until the deadline.

The condition to stop at the latency target now stands in one function, restarts are decided in one place after each event, and they use the newest view. Refusal and failure codes are kept within their hundreds.

--- a/Source/Query/QueryExecution.cpp
+++ b/Source/Query/QueryExecution.cpp
@@ -22,13 +22,34 @@
   return std::find(Values.begin(), Values.end(), Wanted) != Values.end();
 }
 
+common::ResultCode refusalCode(common::ResultCode Reason) {
+  switch (Reason) {
+  case common::ResultCode::DeadlinePassed:
+    return common::ResultCode::DeadlineTooShort;
+  case common::ResultCode::Interrupted:
+    return common::ResultCode::NotServing;
+  default:
+    return Reason;
+  }
+}
+
+common::ResultCode failureCode(common::ResultCode Reason) {
+  switch (Reason) {
+  case common::ResultCode::DeadlinePassed:
+  case common::ResultCode::Interrupted:
+    return Reason;
+  default:
+    return common::ResultCode::AttemptLost;
+  }
+}
+
 } // namespace
 
 QueryExecution::QueryExecution(QueryRequest Accepted,
                                std::shared_ptr<const ServiceView> View,
                                QueryDependencies Used)
     : Request(std::move(Accepted)), Service(std::move(View)),
-      Dependencies(Used) {}
+      NewestService(this->Service), Dependencies(Used) {}
 
 void QueryExecution::start(common::MonotonicTime Now) {
   if (Now >= this->Request.Deadline) {
@@ -66,6 +87,7 @@
     this->acceptReply(Shard, Attempt, Result);
   else
     this->handleLoss(Shard, Attempt, Result.Status, Now);
+  this->restartIfDue(Now);
   this->finishIfDone(Now);
 }
 
@@ -85,15 +107,17 @@
     else if (Progress.HedgeAt && Now >= *Progress.HedgeAt)
       this->tryHedge(Shard, Now);
   }
+  this->restartIfDue(Now);
   this->finishIfDone(Now);
 }
 
+void QueryExecution::onViewChanged(std::shared_ptr<const ServiceView> View) {
+  this->NewestService = std::move(View);
+}
+
 common::MonotonicTime QueryExecution::nextTimer() const {
   common::MonotonicTime Next = this->Request.Deadline;
-  const bool IsTargetAhead =
-      this->Tally && (this->Tally->coverage() >= this->Request.CoverageTarget ||
-                      !this->isAnythingRunning());
-  if (IsTargetAhead)
+  if (this->isGoodEnoughAtTarget())
     Next = std::min(Next, this->Request.LatencyTarget);
   for (const ShardProgress &Progress : this->Shards) {
     if (Progress.HedgeAt)
@@ -144,7 +168,7 @@
       this->Dependencies.Replicas.select(
           *this->Service, this->snapshot().Shards[Shard], Excluded);
   if (!Replica) {
-    this->beginNextRound(Progress, Now);
+    this->beginNextRound(Shard, Now);
     return;
   }
   if (!this->payForAttempt(Progress)) {
@@ -156,11 +180,11 @@
 
 // Replicas that shed or lost an attempt may be asked again after a while; those
 // that refused a connection or lack the snapshot may not.
-void QueryExecution::beginNextRound(ShardProgress &Progress,
+void QueryExecution::beginNextRound(std::size_t Shard,
                                     common::MonotonicTime Now) {
-  const std::size_t Shard =
-      static_cast<std::size_t>(&Progress - this->Shards.data());
+  ShardProgress &Progress = this->Shards[Shard];
   const ShardView &View = this->snapshot().Shards[Shard];
+  Progress.IsRestartDue = Progress.IsSnapshotLost;
   if (Progress.Dropped.size() >= View.Replicas.size()) {
     Progress.IsGivenUp = true;
     return;
@@ -176,9 +200,8 @@
     ++this->Statistics.FirstAttempts;
     return true;
   }
-  if (Progress.IsReplacementFree) {
-    Progress.IsReplacementFree = false;
-    ++this->Statistics.FreeReplacements;
+  if (Progress.IsPrepaid) {
+    Progress.IsPrepaid = false;
     return true;
   }
   if (!this->Dependencies.Budget.tryWithdraw(1))
@@ -293,12 +316,15 @@
                                 Status == AttemptStatus::ShardGone;
   if (Status == AttemptStatus::NotSent || IsHoldingNothing)
     Progress.Dropped.push_back(Attempt.SearcherPosition);
-  Progress.IsReplacementFree = Status == AttemptStatus::NotSent;
   Progress.IsSnapshotLost = Progress.IsSnapshotLost || IsHoldingNothing;
 
   if (!Progress.Running.empty())
     return;
   Progress.HedgeAt.reset();
+  if (Status == AttemptStatus::NotSent) {
+    Progress.IsPrepaid = true;
+    ++this->Statistics.FreeReplacements;
+  }
   const bool IsExpired = Status == AttemptStatus::ExpiredBeforeStart ||
                          Now >= this->Request.Deadline;
   const bool IsRepeatForbidden =
@@ -308,40 +334,48 @@
     return;
   }
   this->tryAttempt(Shard, Now);
-  if (Progress.IsGivenUp && Progress.IsSnapshotLost)
-    this->tryRestart(Now);
 }
 
-bool QueryExecution::tryRestart(common::MonotonicTime Now) {
+void QueryExecution::restartIfDue(common::MonotonicTime Now) {
+  const bool IsDue =
+      std::any_of(this->Shards.begin(), this->Shards.end(),
+                  [](const ShardProgress &Progress) {
+                    return Progress.IsRestartDue && !Progress.IsAnswered;
+                  });
+  if (!IsDue || Now >= this->Request.Deadline)
+    return;
   // A restart runs every shard again, so that it is open to a request that may
   // not be repeated only while nothing of it can have run.
-  const bool IsRunning = this->isAnythingRunning();
-  if (!this->Request.Repeatable && (this->MayHaveRun || IsRunning))
-    return false;
+  const bool CanHaveRun = this->MayHaveRun || this->isAnythingRunning();
+  if (CanHaveRun && !this->Request.Repeatable)
+    return;
+  this->restart(Now);
+}
 
+void QueryExecution::restart(common::MonotonicTime Now) {
   std::vector<common::SnapshotId> Lost = this->LostSnapshots;
   Lost.push_back(this->snapshot().Id);
   const std::optional<std::size_t> Next =
-      SnapshotSelector().select(*this->Service, Lost);
+      SnapshotSelector().select(*this->NewestService, Lost);
   if (!Next)
-    return false;
-  const auto Cost =
-      static_cast<std::uint32_t>(this->Service->Snapshots[*Next].Shards.size());
+    return;
+  const auto Cost = static_cast<std::uint32_t>(
+      this->NewestService->Snapshots[*Next].Shards.size());
   if (!this->Dependencies.Budget.tryWithdraw(Cost))
-    return false;
+    return;
 
   for (ShardProgress &Progress : this->Shards)
     this->cancelRunning(Progress);
+  this->Service = this->NewestService;
   this->LostSnapshots = std::move(Lost);
   this->pinSnapshot();
   ++this->Statistics.Restarts;
   this->Statistics.ExtraAttempts += Cost;
   for (std::size_t Shard = 0; Shard < this->Shards.size(); ++Shard) {
     this->Shards[Shard].IsFirstAttemptDue = false;
-    this->Shards[Shard].IsReplacementFree = true;
+    this->Shards[Shard].IsPrepaid = true;
     this->tryAttempt(Shard, Now);
   }
-  return true;
 }
 
 bool QueryExecution::isAnythingRunning() const {
@@ -364,17 +398,19 @@
                      : common::ResultCode::NoUsableReplica);
     return;
   }
-  if (Now < this->Request.LatencyTarget)
-    return;
-  const bool IsCoveredEnough =
-      this->Tally->coverage() >= this->Request.CoverageTarget;
-  // What only waits for budget or a free replica would hold the answer back.
-  const bool IsWaitingOnly =
-      !this->isAnythingRunning() && this->Tally->coverage() > 0.0;
-  if (IsCoveredEnough || IsWaitingOnly)
+  if (Now >= this->Request.LatencyTarget && this->isGoodEnoughAtTarget())
     this->finish(common::ResultCode::PartialCoverage);
 }
 
+bool QueryExecution::isGoodEnoughAtTarget() const {
+  if (!this->Tally || this->Tally->coverage() <= 0.0)
+    return false;
+  if (this->Tally->coverage() >= this->Request.CoverageTarget)
+    return true;
+  // What only waits for budget or a free replica would hold the answer back.
+  return !this->isAnythingRunning();
+}
+
 void QueryExecution::finish(common::ResultCode Reason) {
   for (ShardProgress &Progress : this->Shards) {
     this->cancelRunning(Progress);
@@ -398,13 +434,9 @@
       [](const ShardProgress &Progress) { return Progress.IsAnswered; });
   if (IsAnyAnswered)
     return this->makePartialAnswer();
-  if (!this->MayHaveRun)
-    return Refusal{Reason == common::ResultCode::DeadlinePassed
-                       ? common::ResultCode::DeadlineTooShort
-                       : Reason};
-  return Failure{Reason == common::ResultCode::NoUsableReplica
-                     ? common::ResultCode::AttemptLost
-                     : Reason};
+  if (this->MayHaveRun)
+    return Failure{failureCode(Reason)};
+  return Refusal{refusalCode(Reason)};
 }
 
 PartialAnswer QueryExecution::makePartialAnswer() const {
--- a/Source/Query/QueryExecution.h
+++ b/Source/Query/QueryExecution.h
@@ -33,6 +33,10 @@
 
   void onTimer(common::MonotonicTime Now);
 
+  /// Gives the newest state of the service. The query stays pinned to its
+  /// snapshot; a restart uses the new state.
+  void onViewChanged(std::shared_ptr<const ServiceView> View);
+
   /// When onTimer is due; meaningless once finished.
   common::MonotonicTime nextTimer() const;
 
@@ -64,10 +68,12 @@
                    const AttemptResult &Result);
   void handleLoss(std::size_t Shard, const RunningAttempt &Attempt,
                   AttemptStatus Status, common::MonotonicTime Now);
-  bool tryRestart(common::MonotonicTime Now);
-  void beginNextRound(ShardProgress &Progress, common::MonotonicTime Now);
+  void restartIfDue(common::MonotonicTime Now);
+  void restart(common::MonotonicTime Now);
+  void beginNextRound(std::size_t Shard, common::MonotonicTime Now);
 
   void finishIfDone(common::MonotonicTime Now);
+  bool isGoodEnoughAtTarget() const;
   bool isAnythingPending() const;
   bool isAnythingRunning() const;
   void finish(common::ResultCode Reason);
@@ -75,7 +81,9 @@
   PartialAnswer makePartialAnswer() const;
 
   QueryRequest Request;
+  /// The state that the snapshot and all positions refer to.
   std::shared_ptr<const ServiceView> Service;
+  std::shared_ptr<const ServiceView> NewestService;
   QueryDependencies Dependencies;
 
   std::vector<common::SnapshotId> LostSnapshots;
--- a/Source/Query/ShardProgress.h
+++ b/Source/Query/ShardProgress.h
@@ -24,11 +24,12 @@
 
   /// The next attempt is the first that may load an upstream.
   bool IsFirstAttemptDue = true;
-  /// The last attempt was not sent, so that its replacement is no extra load.
-  bool IsReplacementFree = false;
-  /// Every replica that may still be asked answered that it does not hold the
-  /// snapshot or the shard.
+  /// The next attempt takes nothing from the budget.
+  bool IsPrepaid = false;
+  /// A replica answered that it does not hold the snapshot or the shard.
   bool IsSnapshotLost = false;
+  /// The snapshot is lost and no other replica can be asked now.
+  bool IsRestartDue = false;
 
   bool IsAnswered = false;
   /// No further attempt will be made.
