--- /dev/null
+++ b/Source/UnitTests/Common/CodePagesTest.cpp
@@ -0,0 +1,52 @@
+#include "Common/LogEvent.h"
+#include "Common/ResultCode.h"
+
+#include <fstream>
+#include <gtest/gtest.h>
+#include <map>
+#include <regex>
+#include <string>
+
+namespace acaciacross::common {
+
+// A code or event that is missing from its page, or stands there under another
+// name or twice, would mislead whoever looks it up.
+class CodePagesTest : public testing::Test {
+protected:
+  /// Rows "| number | name |" of a page; a number that stands twice fails.
+  static std::map<int, std::string> rowsOf(const std::string &Page) {
+    std::ifstream File(std::string(ACACIACROSS_DOCS_DIR) + "/" + Page);
+    EXPECT_TRUE(File.is_open()) << Page;
+    const std::regex Row(R"(^\| (\d+) \| (\w+) \|.*)");
+    std::map<int, std::string> Rows;
+    std::string Line;
+    while (std::getline(File, Line)) {
+      std::smatch Match;
+      if (!std::regex_match(Line, Match, Row))
+        continue;
+      const bool IsNew = Rows.emplace(std::stoi(Match[1]), Match[2]).second;
+      EXPECT_TRUE(IsNew) << Page << " lists " << Match[1] << " twice";
+    }
+    return Rows;
+  }
+};
+
+TEST_F(CodePagesTest, ResultCodePageListsEveryCodeOnce) {
+  std::map<int, std::string> Expected;
+  for (const ResultCode Code : allResultCodes()) {
+    const std::string Name(resultCodeName(Code));
+    EXPECT_TRUE(Expected.emplace(static_cast<int>(Code), Name).second);
+  }
+  EXPECT_EQ(rowsOf("RESULT_CODES.md"), Expected);
+}
+
+TEST_F(CodePagesTest, EventPageListsEveryEventOnce) {
+  std::map<int, std::string> Expected;
+  for (const LogEvent Event : allLogEvents()) {
+    const std::string Name(logEventName(Event));
+    EXPECT_TRUE(Expected.emplace(static_cast<int>(Event), Name).second);
+  }
+  EXPECT_EQ(rowsOf("EVENTS.md"), Expected);
+}
+
+} // namespace acaciacross::common
