Limits, Retries, Routing: Add budgets, hedge delay, replica and address choice

Cause: QueryExecution and the front end need the decisions behind their interfaces: how much extra load is allowed, when to hedge, which replica to ask, and which entry VMs to name.

Ruled out: Boost.Accumulators for the latency quantile (p_square_quantile and density never forget; rolling windows exist for sums and means only). A scan of all replicas per choice (cost grows with the replicas per shard: 262 at the two-year size); two random draws with a scan only after four misses are used. Quotas from the VMs seen alive (views differ in a network partition).

Change: ExtraLoadBudget, ConnectionQuota, LatencyQuantile, QuantileHedgePolicy, PowerOfTwoSelector, AddressAdvisor, each with unit tests. Limits now depends on Query for the LoadBudget interface.

--- /dev/null
+++ b/Source/Limits/ConnectionQuota.cpp
@@ -0,0 +1,21 @@
+#include "Limits/ConnectionQuota.h"
+
+#include "Common/Error.h"
+
+namespace acaciacross::limits {
+
+ConnectionQuota::ConnectionQuota(std::uint32_t MaxEntryVms)
+    : MaxEntryVms(MaxEntryVms) {
+  if (MaxEntryVms == 0)
+    throw common::Error(common::ResultCode::DocumentInvalid,
+                        "max_entry_vms = 0: must be at least 1");
+}
+
+// The divisor is the published maximum, not the number of VMs seen alive: VMs
+// on the two sides of a network partition see different fleets, and quotas
+// derived from these would add up to more than the cap.
+std::uint32_t ConnectionQuota::perVm(std::uint32_t MaxConnections) const {
+  return MaxConnections / this->MaxEntryVms;
+}
+
+} // namespace acaciacross::limits
--- /dev/null
+++ b/Source/Retries/QuantileHedgePolicy.cpp
@@ -0,0 +1,59 @@
+#include "Retries/QuantileHedgePolicy.h"
+
+#include <algorithm>
+
+namespace acaciacross::retries {
+
+namespace {
+
+// At 10 shards and 50 queries/s the window covers 4 to 8 s, and its 99th
+// percentile rests on at least 20 samples.
+constexpr std::uint32_t WindowSamples = 2'000;
+
+// The 95th percentile of fewer samples rests on fewer than 5 of them.
+constexpr std::uint32_t MinimumSamples = 100;
+
+// delay() is called for every attempt and the histogram has over 200 buckets.
+constexpr std::uint32_t RepliesPerRefresh = 32;
+
+// Below the median most hedges would race a healthy replica.
+constexpr double LowestQuantile = 0.5;
+
+} // namespace
+
+QuantileHedgePolicy::QuantileHedgePolicy(double ExtraLoadTarget,
+                                         HedgeBounds Limits)
+    : ExtraLoadTarget(ExtraLoadTarget), Limits(Limits),
+      Latencies(WindowSamples) {}
+
+std::optional<std::chrono::nanoseconds> QuantileHedgePolicy::delay() const {
+  return this->CurrentDelay;
+}
+
+void QuantileHedgePolicy::onReply(std::chrono::nanoseconds Elapsed) {
+  this->Latencies.add(Elapsed);
+  ++this->RepliesSinceRefresh;
+  if (this->RepliesSinceRefresh >= RepliesPerRefresh || !this->CurrentDelay)
+    this->refresh();
+}
+
+void QuantileHedgePolicy::reconfigure(double NewTarget, HedgeBounds NewLimits) {
+  this->ExtraLoadTarget = NewTarget;
+  this->Limits = NewLimits;
+  this->refresh();
+}
+
+void QuantileHedgePolicy::refresh() {
+  this->RepliesSinceRefresh = 0;
+  this->CurrentDelay.reset();
+  const bool IsMeasured = this->Latencies.size() >= MinimumSamples;
+  if (this->ExtraLoadTarget <= 0.0 || !IsMeasured)
+    return;
+  const double Quantile = std::max(1.0 - this->ExtraLoadTarget, LowestQuantile);
+  const std::chrono::nanoseconds Measured = *this->Latencies.quantile(Quantile);
+  const std::chrono::nanoseconds Longest =
+      std::max(this->Limits.Longest, this->Limits.Shortest);
+  this->CurrentDelay = std::clamp(Measured, this->Limits.Shortest, Longest);
+}
+
+} // namespace acaciacross::retries
--- /dev/null
+++ b/Source/Routing/AddressAdvisor.cpp
@@ -0,0 +1,63 @@
+#include "Routing/AddressAdvisor.h"
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace acaciacross::routing {
+
+namespace {
+
+// Callers use an answer for 3 s, and a VM that stops keeps serving for this
+// limit plus 3.5 s after it has announced that it leaves.
+constexpr std::chrono::seconds EvidenceLimit{1};
+
+// Sorted by how many of the same failure domain come before each candidate, so
+// that any prefix spans as many domains as it can.
+void spreadOverDomains(std::vector<AddressCandidate> &Candidates) {
+  std::map<std::string, std::size_t> SeenInDomain;
+  std::vector<std::pair<std::size_t, AddressCandidate>> Ranked;
+  for (AddressCandidate &Each : Candidates) {
+    const std::size_t Rank = SeenInDomain[Each.FailureDomain]++;
+    Ranked.emplace_back(Rank, std::move(Each));
+  }
+  std::stable_sort(Ranked.begin(), Ranked.end(),
+                   [](const auto &Left, const auto &Right) {
+                     return Left.first < Right.first;
+                   });
+  for (std::size_t I = 0; I < Ranked.size(); ++I)
+    Candidates[I] = std::move(Ranked[I].second);
+}
+
+} // namespace
+
+AddressAdvisor::AddressAdvisor(common::RandomSource &Random) : Random(Random) {}
+
+std::vector<AddressCandidate>
+AddressAdvisor::advise(std::span<const AddressCandidate> EntryVms,
+                       bool IsThisVmServing, common::MonotonicTime Now,
+                       std::size_t MaxAddresses) {
+  std::vector<AddressCandidate> Chosen;
+  if (EntryVms.empty())
+    return Chosen;
+  for (const AddressCandidate &Peer : EntryVms.subspan(1))
+    if (Now - Peer.EvidenceAt <= EvidenceLimit)
+      Chosen.push_back(Peer);
+  this->shuffle(Chosen);
+  // This VM goes first so that it is in the answer whatever MaxAddresses is.
+  if (IsThisVmServing)
+    Chosen.insert(Chosen.begin(), EntryVms.front());
+  spreadOverDomains(Chosen);
+  Chosen.resize(std::min(Chosen.size(), MaxAddresses));
+  this->shuffle(Chosen);
+  return Chosen;
+}
+
+void AddressAdvisor::shuffle(std::vector<AddressCandidate> &Candidates) {
+  for (std::size_t Left = Candidates.size(); Left > 1; --Left)
+    std::swap(Candidates[Left - 1], Candidates[this->Random.below(Left)]);
+}
+
+} // namespace acaciacross::routing
--- /dev/null
+++ b/Source/Routing/SearcherLoad.h
@@ -0,0 +1,21 @@
+#ifndef ACACIACROSS_ROUTING_SEARCHERLOAD_H
+#define ACACIACROSS_ROUTING_SEARCHERLOAD_H
+
+#include <cstdint>
+
+namespace acaciacross::routing {
+
+/// What PowerOfTwoSelector keeps of one searcher. Kept small: at 42,000
+/// searchers the table should stay in the processor's second-level cache.
+struct SearcherLoad {
+  /// 1 / (slots * share), times the penalty of another zone.
+  float CostPerAttempt = 0.0F;
+  std::uint32_t InFlight = 0;
+  /// 0 for a searcher that may not get new attempts: ejected, leaving or not
+  /// in the newest view.
+  std::uint32_t Quota = 0;
+};
+
+} // namespace acaciacross::routing
+
+#endif
--- /dev/null
+++ b/Source/UnitTests/Routing/PowerOfTwoSelectorTest.cpp
@@ -0,0 +1,106 @@
+#include "Routing/PowerOfTwoSelector.h"
+
+#include "Common/SeededRandom.h"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <map>
+
+namespace acaciacross::routing {
+
+class PowerOfTwoSelectorTest : public testing::Test {
+protected:
+  void SetUp() override {
+    for (std::uint32_t I = 0; I < 4; ++I) {
+      query::SearcherView Searcher;
+      Searcher.Index = common::SearcherIndex(I);
+      Searcher.Slots = 2;
+      Searcher.ConnectionQuota = 100;
+      this->View.Searchers.push_back(Searcher);
+      this->Shard.Replicas.push_back(I);
+    }
+    this->Selector.updateView(this->View);
+  }
+
+  /// How often each position is chosen; each choice stays in flight when
+  /// KeepsRunning is set.
+  std::map<std::uint32_t, int> choose(int Times, bool KeepsRunning) {
+    std::map<std::uint32_t, int> Chosen;
+    for (int I = 0; I < Times; ++I) {
+      const auto Position = this->Selector.select(this->View, this->Shard, {});
+      if (!Position)
+        continue;
+      ++Chosen[*Position];
+      if (KeepsRunning)
+        this->Selector.onAttemptStarted(this->View.Searchers[*Position].Index);
+    }
+    return Chosen;
+  }
+
+  common::SeededRandom Random{1};
+  PowerOfTwoSelector Selector{Random};
+  query::ServiceView View;
+  query::ShardView Shard;
+};
+
+TEST_F(PowerOfTwoSelectorTest, ChoicesAreSpreadOverEqualReplicas) {
+  for (const auto &[Position, Count] : this->choose(40, true))
+    EXPECT_NEAR(Count, 10, 2) << Position;
+}
+
+// P6: a query pinned to an older view must not pick a searcher that has left
+// since.
+TEST_F(PowerOfTwoSelectorTest, SearcherUnusableInTheNewestViewIsNeverChosen) {
+  query::ServiceView Newest = this->View;
+  Newest.Searchers[0].Availability = query::SearcherAvailability::Leaving;
+  Newest.Searchers[1].Availability = query::SearcherAvailability::Ejected;
+  Newest.Searchers.pop_back();
+  this->Selector.updateView(Newest);
+  const auto Chosen = this->choose(200, false);
+  EXPECT_EQ(Chosen.size(), 1U);
+  EXPECT_EQ(Chosen.count(2), 1U);
+}
+
+TEST_F(PowerOfTwoSelectorTest, WithoutAnyViewNothingIsChosen) {
+  PowerOfTwoSelector Fresh(this->Random);
+  EXPECT_EQ(Fresh.select(this->View, this->Shard, {}), std::nullopt);
+}
+
+// More attempts than the quota would open more connections than this VM's part
+// of the searcher's cap.
+TEST_F(PowerOfTwoSelectorTest, ReplicaAtItsConnectionQuotaIsNotChosen) {
+  for (query::SearcherView &Searcher : this->View.Searchers)
+    Searcher.ConnectionQuota = 2;
+  this->Selector.updateView(this->View);
+  const auto Chosen = this->choose(50, true);
+  for (std::uint32_t Position = 0; Position < 4; ++Position)
+    EXPECT_EQ(Chosen.at(Position), 2) << Position;
+  this->Selector.onAttemptEnded(common::SearcherIndex(3));
+  EXPECT_EQ(this->Selector.select(this->View, this->Shard, {}), 3U);
+}
+
+TEST_F(PowerOfTwoSelectorTest, ExcludedReplicasAreNotChosen) {
+  const std::array<std::uint32_t, 3> Excluded{0, 1, 2};
+  for (int I = 0; I < 50; ++I)
+    EXPECT_EQ(this->Selector.select(this->View, this->Shard, Excluded), 3U);
+}
+
+// A cold searcher that gets a full share fails its first requests.
+TEST_F(PowerOfTwoSelectorTest, ReplicaWithATenthShareGetsFewerAttempts) {
+  this->View.Searchers[0].Share = 0.1;
+  this->Selector.updateView(this->View);
+  const auto Chosen = this->choose(62, true);
+  EXPECT_LE(Chosen.at(0), 4);
+}
+
+TEST_F(PowerOfTwoSelectorTest, LocalReplicaIsPreferredUntilTwiceAsLoaded) {
+  for (std::uint32_t I = 1; I < 4; ++I)
+    this->View.Searchers[I].SameZone = false;
+  this->Shard.Replicas = {0, 1};
+  this->Selector.updateView(this->View);
+  const auto Chosen = this->choose(30, true);
+  EXPECT_NEAR(Chosen.at(0), 20, 1);
+}
+
+} // namespace acaciacross::routing
