--- /dev/null
+++ b/Source/TestSupport/DeliveryRecord.h
@@ -0,0 +1,24 @@
+#ifndef ACACIACROSS_TESTSUPPORT_DELIVERYRECORD_H
+#define ACACIACROSS_TESTSUPPORT_DELIVERYRECORD_H
+
+#include "Common/AttemptId.h"
+#include "Common/Identifiers.h"
+#include "Common/Time.h"
+
+#include <string>
+
+namespace acaciacross::testsupport {
+
+/// A fake searcher's true reply to an attempt was handed over.
+struct DeliveryRecord {
+  common::AttemptId Attempt;
+  common::RequestId Request;
+  common::SnapshotId Snapshot;
+  common::ShardId Shard;
+  common::MonotonicTime At;
+  std::string Body;
+};
+
+} // namespace acaciacross::testsupport
+
+#endif
--- /dev/null
+++ b/Source/TestSupport/FakeSearcherCounts.h
@@ -0,0 +1,28 @@
+#ifndef ACACIACROSS_TESTSUPPORT_FAKESEARCHERCOUNTS_H
+#define ACACIACROSS_TESTSUPPORT_FAKESEARCHERCOUNTS_H
+
+#include <chrono>
+#include <cstdint>
+
+namespace acaciacross::testsupport {
+
+/// Work of all fake searchers together.
+struct FakeSearcherCounts {
+  std::uint64_t Sent = 0;
+  std::uint64_t Executed = 0;
+  std::uint64_t Shed = 0;
+  std::uint64_t Expired = 0;
+  std::uint64_t Failed = 0;
+  /// Cancelled before the work started, which cost the searcher nothing.
+  std::uint64_t CancelledBeforeStart = 0;
+  /// Cancelled while the work ran.
+  std::uint64_t CancelledRunning = 0;
+  /// Time that slots spent on work that was cancelled.
+  std::chrono::nanoseconds CancelledWork{0};
+  /// Time that slots were busy.
+  std::chrono::nanoseconds Busy{0};
+};
+
+} // namespace acaciacross::testsupport
+
+#endif
--- /dev/null
+++ b/Source/TestSupport/QueryRunner.cpp
@@ -0,0 +1,113 @@
+#include "TestSupport/QueryRunner.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace acaciacross::testsupport {
+
+QueryRunner::QueryRunner(EventQueue &Events, query::ReplicaSelector &Replicas,
+                         common::Incarnation Self)
+    : Events(Events), Replicas(Replicas), Ids(Self, 1) {}
+
+void QueryRunner::setSearchers(query::AttemptPort &NewSearchers) {
+  this->Searchers = &NewSearchers;
+}
+
+void QueryRunner::setFinishHandler(FinishHandler Handler) {
+  this->OnFinished = std::move(Handler);
+}
+
+void QueryRunner::keepFinished() { this->KeepsFinished = true; }
+
+std::uint64_t
+QueryRunner::submit(query::QueryRequest Request,
+                    std::shared_ptr<const query::ServiceView> View,
+                    query::HedgePolicy &Hedging, query::LoadBudget &Budget) {
+  const std::uint64_t Number = ++this->Submitted;
+  const query::QueryDependencies Used{*this, this->Replicas, Hedging, Budget,
+                                      this->Ids};
+  auto Run = std::make_unique<QueryRun>(std::move(Request), std::move(View),
+                                        Used, this->Events.now());
+  QueryRun &Started = *Run;
+  this->Runs.emplace(Number, std::move(Run));
+  this->Current = Number;
+  Started.Execution.start(this->Events.now());
+  this->afterStep(Number);
+  return Number;
+}
+
+void QueryRunner::onResult(const query::AttemptResult &Result) {
+  const auto Known = this->RunOfAttempt.find(Result.Attempt);
+  if (Known == this->RunOfAttempt.end())
+    return;
+  const std::uint64_t Number = Known->second;
+  this->Current = Number;
+  this->Runs.at(Number)->Execution.onAttemptEnded(Result, this->Events.now());
+  this->afterStep(Number);
+}
+
+void QueryRunner::abort(std::uint64_t Number, common::ResultCode Reason) {
+  const auto Known = this->Runs.find(Number);
+  if (Known == this->Runs.end())
+    return;
+  this->Current = Number;
+  Known->second->Execution.abort(Reason);
+  this->afterStep(Number);
+}
+
+const QueryRun &QueryRunner::run(std::uint64_t Number) const {
+  return *this->Runs.at(Number);
+}
+
+void QueryRunner::start(const query::AttemptSpec &Spec) {
+  this->RunOfAttempt.emplace(Spec.Id, this->Current);
+  this->Runs.at(this->Current)->Attempts.push_back(Spec.Id);
+  this->Searchers->start(Spec);
+}
+
+void QueryRunner::cancel(const common::AttemptId &Id) {
+  this->Searchers->cancel(Id);
+}
+
+void QueryRunner::runTimer(std::uint64_t Number) {
+  const auto Known = this->Runs.find(Number);
+  if (Known == this->Runs.end())
+    return;
+  QueryRun &Run = *Known->second;
+  Run.TimerAt = common::MonotonicTime::max();
+  this->Current = Number;
+  if (this->Events.now() >= Run.Execution.nextTimer())
+    Run.Execution.onTimer(this->Events.now());
+  this->afterStep(Number);
+}
+
+void QueryRunner::afterStep(std::uint64_t Number) {
+  QueryRun &Run = *this->Runs.at(Number);
+  if (Run.Execution.isFinished()) {
+    this->finish(Number);
+    return;
+  }
+  const common::MonotonicTime Next =
+      std::max(Run.Execution.nextTimer(), this->Events.now());
+  if (Next >= Run.TimerAt)
+    return;
+  Run.TimerAt = Next;
+  this->Events.at(Next, [this, Number] { this->runTimer(Number); });
+}
+
+void QueryRunner::finish(std::uint64_t Number) {
+  QueryRun &Run = *this->Runs.at(Number);
+  if (!Run.IsReported) {
+    Run.IsReported = true;
+    Run.FinishedAt = this->Events.now();
+    if (this->OnFinished)
+      this->OnFinished(Run);
+  }
+  if (this->KeepsFinished)
+    return;
+  for (const common::AttemptId &Id : Run.Attempts)
+    this->RunOfAttempt.erase(Id);
+  this->Runs.erase(Number);
+}
+
+} // namespace acaciacross::testsupport
