Membership: fleet table, prober, pause detector and stop sequence

Evidence of a peer carries the send time of the probe that it acknowledged. Two runs of one VM are ordered by that time, too: incarnations are random and wall clocks differ between VMs, so the run that answered the later probe is the later one, and a run that was replaced is never accepted again (a probe may be overtaken on the way). Ruled out: a start time beside the incarnation, because a replacement whose clock is behind would never be accepted. Hints (seeds, VM list, mentions by peers) only give addresses to probe. "Leaving" is the one thing that a message of unknown age may say of a run, because a run never takes it back.

The pause detector looks at the wall clock as well, because the monotonic clock of a suspended VM may stand still.

StrongId and Address compare member by member instead of with a defaulted operator<=>: clang-tidy 14 reports the code that the compiler makes for it in every file that orders them.

--- a/Source/Common/Address.h
+++ b/Source/Common/Address.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace acaciacross::common {
 
@@ -14,7 +15,12 @@
   std::string Host;
   std::uint16_t Port = 0;
 
-  auto operator<=>(const Address &) const = default;
+  bool operator==(const Address &) const = default;
+  // Not defaulted: clang-tidy 14 reports the compiler's own code for that.
+  auto operator<=>(const Address &Other) const {
+    return std::tie(this->Host, this->Port) <=>
+           std::tie(Other.Host, Other.Port);
+  }
 
   /// "host:port".
   std::string toString() const;
--- a/Source/Common/StrongId.h
+++ b/Source/Common/StrongId.h
@@ -16,7 +16,11 @@
   StrongId() = default;
   explicit StrongId(Representation Initial) : Value(std::move(Initial)) {}
 
-  auto operator<=>(const StrongId &) const = default;
+  bool operator==(const StrongId &) const = default;
+  // Not defaulted: clang-tidy 14 reports the compiler's own code for that.
+  auto operator<=>(const StrongId &Other) const {
+    return this->Value <=> Other.Value;
+  }
 };
 
 } // namespace acaciacross::common
--- /dev/null
+++ b/Source/Membership/AddressHints.cpp
@@ -0,0 +1,49 @@
+#include "Membership/AddressHints.h"
+
+#include <utility>
+
+namespace acaciacross::membership {
+
+namespace {
+
+// The VM list may be a minute old, so a shorter time would drop addresses
+// between two of its versions.
+constexpr std::chrono::seconds HintLifetime{60};
+
+} // namespace
+
+AddressHints::AddressHints(common::Address OwnAddress, std::size_t MaxAddresses)
+    : Self(std::move(OwnAddress)), Capacity(MaxAddresses) {}
+
+void AddressHints::addSeed(const common::Address &Peer) {
+  this->mention(Peer, common::MonotonicTime::max());
+}
+
+void AddressHints::mention(const common::Address &Peer,
+                           common::MonotonicTime Now) {
+  if (Peer == this->Self || Peer.Port == 0)
+    return;
+  const auto Found = this->MentionedAt.find(Peer);
+  if (Found != this->MentionedAt.end()) {
+    if (Found->second < Now)
+      Found->second = Now;
+    return;
+  }
+  if (this->MentionedAt.size() < this->Capacity)
+    this->MentionedAt.emplace(Peer, Now);
+}
+
+void AddressHints::expire(common::MonotonicTime Now) {
+  std::erase_if(this->MentionedAt, [Now](const auto &Entry) {
+    return Entry.second < Now && Now - Entry.second >= HintLifetime;
+  });
+}
+
+std::vector<common::Address> AddressHints::addresses() const {
+  std::vector<common::Address> Peers;
+  for (const auto &[Peer, Time] : this->MentionedAt)
+    Peers.push_back(Peer);
+  return Peers;
+}
+
+} // namespace acaciacross::membership
--- /dev/null
+++ b/Source/Membership/FleetLimits.h
@@ -0,0 +1,43 @@
+#ifndef ACACIACROSS_MEMBERSHIP_FLEETLIMITS_H
+#define ACACIACROSS_MEMBERSHIP_FLEETLIMITS_H
+
+#include <chrono>
+#include <cstddef>
+
+namespace acaciacross::membership {
+
+/// A peer is named in address answers while its evidence is at most this old.
+constexpr std::chrono::milliseconds EvidenceLimit{1000};
+
+/// Callers may use an address answer this long.
+constexpr std::chrono::milliseconds AddressValidity{3000};
+
+/// Covers the way of an address answer to its caller.
+constexpr std::chrono::milliseconds LingerMargin{500};
+
+/// A peer without evidence for this long is lost.
+constexpr std::chrono::milliseconds LossLimit{3000};
+
+/// A peer is lost only if its probes stayed unanswered this long: in a large
+/// fleet a peer may not have been probed at all for more than the loss limit.
+constexpr std::chrono::milliseconds UnansweredLimit{2500};
+
+/// A lost peer is probed this long, so that a network partition of minutes
+/// heals without help of the VM list.
+constexpr std::chrono::minutes ForgetLimit{15};
+
+/// Time between two rounds of probes.
+constexpr std::chrono::milliseconds ProbePeriod{200};
+
+/// Most peers probed per round.
+constexpr std::size_t MaxProbesPerRound = 16;
+
+/// Most peers kept: the fleet in two years (6,600) with room for replacements.
+constexpr std::size_t MaxPeers = 8192;
+
+/// A gap of this length between control ticks counts as a pause.
+constexpr std::chrono::milliseconds PauseLimit{500};
+
+} // namespace acaciacross::membership
+
+#endif
--- /dev/null
+++ b/Source/Membership/MemberStatus.h
@@ -0,0 +1,31 @@
+#ifndef ACACIACROSS_MEMBERSHIP_MEMBERSTATUS_H
+#define ACACIACROSS_MEMBERSHIP_MEMBERSTATUS_H
+
+#include "Common/Address.h"
+#include "Common/Identifiers.h"
+#include "Membership/ServingState.h"
+
+#include <cstdint>
+#include <string>
+
+namespace acaciacross::membership {
+
+/// What an entry VM says of itself in probes and acknowledgements.
+struct MemberStatus {
+  common::VmId Vm;
+  common::Incarnation Run;
+  ServingState State = ServingState::Joining;
+  common::Address Callers;
+  std::string FailureDomain;
+  /// Highest revision in effect.
+  common::Revision InEffect;
+  /// Hash over every key and its revision; differs when VMs hold different
+  /// sets below the same highest revision.
+  std::uint64_t ConfigurationDigest = 0;
+
+  bool operator==(const MemberStatus &) const = default;
+};
+
+} // namespace acaciacross::membership
+
+#endif
--- /dev/null
+++ b/Source/Membership/MemberUpdate.h
@@ -0,0 +1,23 @@
+#ifndef ACACIACROSS_MEMBERSHIP_MEMBERUPDATE_H
+#define ACACIACROSS_MEMBERSHIP_MEMBERUPDATE_H
+
+#include "Common/Address.h"
+#include "Common/Identifiers.h"
+#include "Membership/ServingState.h"
+
+namespace acaciacross::membership {
+
+/// What one VM tells another about a third. Never evidence that the third is
+/// alive: the receiver probes the address itself.
+struct MemberUpdate {
+  common::VmId Vm;
+  common::Incarnation Run;
+  ServingState State = ServingState::Joining;
+  common::Address Peers;
+
+  bool operator==(const MemberUpdate &) const = default;
+};
+
+} // namespace acaciacross::membership
+
+#endif
--- /dev/null
+++ b/Source/Membership/PauseDetector.cpp
@@ -0,0 +1,46 @@
+#include "Membership/PauseDetector.h"
+
+#include "Membership/FleetLimits.h"
+
+#include <algorithm>
+
+namespace acaciacross::membership {
+
+std::optional<std::chrono::milliseconds>
+PauseDetector::tick(common::MonotonicTime Now, common::WallTime Wall) {
+  const auto Gap = this->gapAt(Now, Wall);
+  this->setLast(Now, Wall);
+  return Gap;
+}
+
+std::optional<std::chrono::milliseconds>
+PauseDetector::beforeMessage(common::MonotonicTime Now, common::WallTime Wall) {
+  const auto Gap = this->gapAt(Now, Wall);
+  if (Gap)
+    this->setLast(Now, Wall);
+  return Gap;
+}
+
+// The monotonic clock of a suspended VM may stand still, so the wall clock is
+// looked at too. When the wall clock is set forward, evidence is dropped
+// without need and is back after the next round of probes.
+std::optional<std::chrono::milliseconds>
+PauseDetector::gapAt(common::MonotonicTime Now, common::WallTime Wall) const {
+  if (!this->LastTick)
+    return std::nullopt;
+  const auto Monotonic = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Now - *this->LastTick);
+  const auto OnWall = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Wall - this->LastWall);
+  const auto Gap = std::max(Monotonic, OnWall);
+  if (Gap <= PauseLimit)
+    return std::nullopt;
+  return Gap;
+}
+
+void PauseDetector::setLast(common::MonotonicTime Now, common::WallTime Wall) {
+  this->LastTick = Now;
+  this->LastWall = Wall;
+}
+
+} // namespace acaciacross::membership
--- /dev/null
+++ b/Source/Membership/Prober.h
@@ -0,0 +1,52 @@
+#ifndef ACACIACROSS_MEMBERSHIP_PROBER_H
+#define ACACIACROSS_MEMBERSHIP_PROBER_H
+
+#include "Common/RandomSource.h"
+#include "Membership/AddressHints.h"
+#include "Membership/FleetTable.h"
+#include "Membership/PeerChannel.h"
+#include "Membership/PendingProbe.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace acaciacross::membership {
+
+/// Sends one round of probes per tick and matches acknowledgements to them.
+class Prober {
+public:
+  Prober(PeerChannel &ProbeChannel, common::RandomSource &RandomNumbers);
+
+  /// Sends one round to the peers and hinted addresses.
+  void tick(common::MonotonicTime Now, FleetTable &Fleet,
+            const AddressHints &Hints, const Heartbeat &Content);
+
+  /// When the acknowledged probe was sent; empty when the acknowledgement is
+  /// no evidence: the probe is unknown, expired, already acknowledged, or was
+  /// sent to another address.
+  std::optional<common::MonotonicTime> matchAck(std::uint64_t Sequence,
+                                                const common::Address &From,
+                                                common::MonotonicTime Now);
+
+  /// Drops all probes sent so far, so that acknowledgements which waited in
+  /// the socket buffer during a pause match nothing.
+  void discardPending();
+
+private:
+  std::vector<common::Address> chooseTargets(const FleetTable &Fleet,
+                                             const AddressHints &Hints);
+  std::vector<common::Address> sample(std::vector<common::Address> Pool,
+                                      std::size_t Count);
+  void expire(common::MonotonicTime Now);
+
+  PeerChannel &Channel;
+  common::RandomSource &Random;
+  std::uint64_t NextSequence;
+  std::map<std::uint64_t, PendingProbe> Pending;
+};
+
+} // namespace acaciacross::membership
+
+#endif
