--- /dev/null
+++ b/Source/UnitTests/Configuration/ServiceDocumentParserTest.cpp
@@ -0,0 +1,87 @@
+#include "Configuration/ServiceDocumentParser.h"
+
+#include "Configuration/ConfigurationError.h"
+#include "UnitTests/Configuration/SampleDocuments.h"
+
+#include <gtest/gtest.h>
+
+namespace acaciacross::configuration {
+
+class ServiceDocumentParserTest : public testing::Test {
+protected:
+  std::string errorOf(const std::string &From, const std::string &To) {
+    try {
+      ServiceDocumentParser::parse(replaced(SampleService, From, To),
+                                   "service/crew-dispatch");
+    } catch (const ConfigurationError &Error) {
+      EXPECT_EQ(Error.code(), common::ResultCode::DocumentInvalid);
+      return Error.what();
+    }
+    return "";
+  }
+};
+
+TEST_F(ServiceDocumentParserTest, ParseOfSampleGivesEveryField) {
+  const ServiceDocument Document =
+      ServiceDocumentParser::parse(SampleService, "service/crew-dispatch");
+  EXPECT_EQ(Document.Name.Value, "crew-dispatch");
+  ASSERT_EQ(Document.Searchers.size(), 3U);
+  EXPECT_EQ(Document.Searchers[1].Id.Value, "crew-1");
+  EXPECT_EQ(Document.Searchers[1].Endpoint.toString(), "127.0.0.1:7302");
+  EXPECT_EQ(Document.Searchers[1].Zone, "lake-2");
+  EXPECT_EQ(Document.Searchers[1].Slots, 2U);
+  EXPECT_EQ(Document.Searchers[1].MaxConnections, 25U);
+  ASSERT_EQ(Document.Snapshots.size(), 1U);
+  ASSERT_EQ(Document.Snapshots[0].Shards.size(), 2U);
+  EXPECT_EQ(Document.Snapshots[0].Shards[1].Range,
+            (common::KeyRange{32768, 65536}));
+  EXPECT_EQ(Document.Snapshots[0].Shards[1].Documents, 500U);
+  EXPECT_EQ(Document.Snapshots[0].Shards[1].Replicas.size(), 3U);
+}
+
+// Documents between two shards would be missing without showing in coverage.
+TEST_F(ServiceDocumentParserTest, ParseOfGapBetweenRangesIsRefused) {
+  const std::string Error =
+      this->errorOf("range_begin = 32768", "range_begin = 32769");
+  EXPECT_NE(Error.find("snapshot[0].shard[1].range_begin = 32769: 32768"),
+            std::string::npos)
+      << Error;
+  EXPECT_NE(this->errorOf("range_begin = 0", "range_begin = 1"), "");
+}
+
+// Documents in two shards would be answered twice.
+TEST_F(ServiceDocumentParserTest, ParseOfOverlappingRangesIsRefused) {
+  EXPECT_NE(this->errorOf("range_begin = 32768", "range_begin = 32767"), "");
+  EXPECT_NE(this->errorOf("range_begin = 32768", "range_begin = 0"), "");
+}
+
+TEST_F(ServiceDocumentParserTest, ParseOfEmptyRangeIsRefused) {
+  EXPECT_NE(this->errorOf("range_end = 65536", "range_end = 32768"), "");
+}
+
+TEST_F(ServiceDocumentParserTest, ParseOfReplicaOfUnknownSearcherIsRefused) {
+  EXPECT_NE(this->errorOf("[\"crew-0\",", "[\"crew-9\","), "");
+  EXPECT_NE(this->errorOf("[\"crew-0\",", "[\"crew-1\","), "");
+  EXPECT_NE(this->errorOf("[\"crew-0\", \"crew-1\", \"crew-2\"]", "[]"), "");
+}
+
+TEST_F(ServiceDocumentParserTest, ParseOfRepeatedIdOrAddressIsRefused) {
+  EXPECT_NE(this->errorOf("id = \"crew-1\"", "id = \"crew-0\""), "");
+  EXPECT_NE(this->errorOf("id = 1", "id = 0"), "");
+  EXPECT_NE(this->errorOf(":7302", ":7301"), "");
+  EXPECT_NE(this->errorOf("[[snapshot.shard]]\nid = 1\n",
+                          "[[snapshot]]\nid = \"2026-12-04T06\"\n"
+                          "[[snapshot.shard]]\nid = 1\n"),
+            "");
+}
+
+TEST_F(ServiceDocumentParserTest, ParseOfWrongShapeIsRefused) {
+  EXPECT_NE(this->errorOf("slots = 2", "slots = 0"), "");
+  EXPECT_NE(this->errorOf("slots = 2", "slot = 2"), "");
+  EXPECT_NE(this->errorOf("127.0.0.1:7301", "localhost:7301"), "");
+  EXPECT_NE(this->errorOf("documents = 500", "documents = -1"), "");
+  EXPECT_NE(this->errorOf("[[snapshot]]", "[snapshot]"), "");
+  EXPECT_NE(this->errorOf(SampleService, ""), "");
+}
+
+} // namespace acaciacross::configuration
