--- a/Source/Control/UpstreamEvidence.h
+++ b/Source/Control/UpstreamEvidence.h
@@ -1,22 +1,12 @@
 #ifndef ACACIACROSS_CONTROL_UPSTREAMEVIDENCE_H
 #define ACACIACROSS_CONTROL_UPSTREAMEVIDENCE_H
 
-#include "Common/Identifiers.h"
-#include "Common/Time.h"
-#include "Query/AttemptStatus.h"
-
-#include <chrono>
+#include "Upstreams/UpstreamEvidence.h"
 
 namespace acaciacross::control {
 
-/// What one attempt showed of a searcher.
-struct UpstreamEvidence {
-  common::SearcherIndex Searcher;
-  query::AttemptStatus Status = query::AttemptStatus::Answered;
-  common::MonotonicTime At;
-  std::chrono::nanoseconds Elapsed{0};
-  bool Draining = false;
-};
+// Defined in the lower module, which decides by it.
+using upstreams::UpstreamEvidence;
 
 } // namespace acaciacross::control
 
--- /dev/null
+++ b/Source/Upstreams/UpstreamChanges.h
@@ -0,0 +1,31 @@
+#ifndef ACACIACROSS_UPSTREAMS_UPSTREAMCHANGES_H
+#define ACACIACROSS_UPSTREAMS_UPSTREAMCHANGES_H
+
+#include "Upstreams/SearcherState.h"
+#include "Upstreams/UpstreamEvent.h"
+
+#include <set>
+#include <vector>
+
+namespace acaciacross::upstreams {
+
+/// Collects what changed for the control state.
+class UpstreamChanges {
+public:
+  void record(const SearcherState &State, UpstreamEventKind Kind,
+              const std::string &Cause);
+  void markChanged(const common::ServiceName &Service);
+
+  /// Events since the last call.
+  std::vector<UpstreamEvent> takeEvents();
+  /// Services whose availabilities or shares changed since the last call.
+  std::set<common::ServiceName> takeServices();
+
+private:
+  std::vector<UpstreamEvent> Events;
+  std::set<common::ServiceName> Services;
+};
+
+} // namespace acaciacross::upstreams
+
+#endif
--- /dev/null
+++ b/Source/Upstreams/UpstreamEvidence.h
@@ -0,0 +1,23 @@
+#ifndef ACACIACROSS_UPSTREAMS_UPSTREAMEVIDENCE_H
+#define ACACIACROSS_UPSTREAMS_UPSTREAMEVIDENCE_H
+
+#include "Common/Identifiers.h"
+#include "Common/Time.h"
+#include "Query/AttemptStatus.h"
+
+#include <chrono>
+
+namespace acaciacross::upstreams {
+
+/// What one attempt showed of a searcher.
+struct UpstreamEvidence {
+  common::SearcherIndex Searcher;
+  query::AttemptStatus Status = query::AttemptStatus::Answered;
+  common::MonotonicTime At;
+  std::chrono::nanoseconds Elapsed{0};
+  bool Draining = false;
+};
+
+} // namespace acaciacross::upstreams
+
+#endif
