Control: control state, audit trail and the control thread

Tasks go through a queue with one notification per batch, because the notification pipe is of limited size and a task that posts would wait for its own thread; a test posts 100,000 tasks from one. An exception of a task is logged as event 105 and the others go on.

ControlState gives each searcher id one index for the life of the process. Connection quota = floor(cap / max_entry_vms), divided further among services that name the same address, because each traffic thread keeps its own count. At 0 the searcher is shown as ejected and event 405 is logged: the cap outranks availability, and libcurl reads a limit of 0 as no limit. Before "classes" is in effect no service is shown, because the budget is unknown.

A starting VM serves once "classes" and a service are in effect and a peer has answered or 2 s have passed (JoinRule). New log events: 105, 405, 406.

--- a/Source/Common/LogEvent.cpp
+++ b/Source/Common/LogEvent.cpp
@@ -12,6 +12,7 @@
     LogEvent::ProcessStopped,
     LogEvent::PauseDetected,
     LogEvent::SettingsRefused,
+    LogEvent::ControlTaskFailed,
     LogEvent::ConfigurationAccepted,
     LogEvent::ConfigurationRefused,
     LogEvent::ConfigurationServiceUnavailable,
@@ -28,6 +29,8 @@
     LogEvent::SearcherLeaving,
     LogEvent::SearcherWarming,
     LogEvent::EjectionSuppressed,
+    LogEvent::ConnectionQuotaZero,
+    LogEvent::SearcherReturned,
     LogEvent::RequestRefused,
     LogEvent::RequestFailed,
     LogEvent::ReplyDiscarded,
@@ -49,6 +52,8 @@
     return "PauseDetected";
   case LogEvent::SettingsRefused:
     return "SettingsRefused";
+  case LogEvent::ControlTaskFailed:
+    return "ControlTaskFailed";
   case LogEvent::ConfigurationAccepted:
     return "ConfigurationAccepted";
   case LogEvent::ConfigurationRefused:
@@ -81,6 +86,10 @@
     return "SearcherWarming";
   case LogEvent::EjectionSuppressed:
     return "EjectionSuppressed";
+  case LogEvent::ConnectionQuotaZero:
+    return "ConnectionQuotaZero";
+  case LogEvent::SearcherReturned:
+    return "SearcherReturned";
   case LogEvent::RequestRefused:
     return "RequestRefused";
   case LogEvent::RequestFailed:
--- a/Source/Common/LogEvent.h
+++ b/Source/Common/LogEvent.h
@@ -16,6 +16,7 @@
   ProcessStopped = 102,
   PauseDetected = 103,
   SettingsRefused = 104,
+  ControlTaskFailed = 105,
 
   ConfigurationAccepted = 200,
   ConfigurationRefused = 201,
@@ -35,6 +36,8 @@
   SearcherLeaving = 402,
   SearcherWarming = 403,
   EjectionSuppressed = 404,
+  ConnectionQuotaZero = 405,
+  SearcherReturned = 406,
 
   RequestRefused = 500,
   RequestFailed = 501,
--- /dev/null
+++ b/Source/Control/AuditEntry.h
@@ -0,0 +1,25 @@
+#ifndef ACACIACROSS_CONTROL_AUDITENTRY_H
+#define ACACIACROSS_CONTROL_AUDITENTRY_H
+
+#include "Common/Time.h"
+
+#include <cstdint>
+#include <string>
+
+namespace acaciacross::control {
+
+/// One change of the control state.
+struct AuditEntry {
+  /// Counts from 1 and has no gaps.
+  std::uint64_t Sequence = 0;
+  common::WallTime At;
+  /// What brought the change about: "service", "peer entry-2", "evidence", …
+  std::string Cause;
+  /// The key, searcher or VM that changed.
+  std::string Subject;
+  std::string Text;
+};
+
+} // namespace acaciacross::control
+
+#endif
--- /dev/null
+++ b/Source/Control/ControlThread.cpp
@@ -0,0 +1,44 @@
+#include "Control/ControlThread.h"
+
+#include "Control/ControlLoop.h"
+
+#include <utility>
+
+namespace acaciacross::control {
+
+ControlThread::ControlThread(std::unique_ptr<ControlState> Owned,
+                             const common::Clock &TimeSource)
+    : Loop(std::make_unique<ControlLoop>(std::move(Owned), TimeSource)) {}
+
+ControlThread::~ControlThread() { this->stop(); }
+
+void ControlThread::post(std::function<void(ControlState &)> Task) {
+  this->Loop->post(std::move(Task));
+}
+
+void ControlThread::report(std::vector<UpstreamEvidence> Batch) {
+  this->Loop->postOptional([Evidence = std::move(Batch)](ControlState &State) {
+    State.applyEvidence(Evidence);
+  });
+}
+
+void ControlThread::addListener(ViewListener &Listener) {
+  this->Loop->addListener(Listener);
+}
+
+void ControlThread::start() {
+  this->Worker = std::thread([this] { this->Loop->run(); });
+}
+
+void ControlThread::stop() {
+  if (!this->Worker.joinable())
+    return;
+  this->Loop->end();
+  this->Worker.join();
+}
+
+ACE_Reactor &ControlThread::reactor() { return this->Loop->events(); }
+
+ControlState &ControlThread::state() { return this->Loop->state(); }
+
+} // namespace acaciacross::control
--- /dev/null
+++ b/Source/UnitTests/Control/ControlStateTest.cpp
@@ -0,0 +1,166 @@
+#include "Control/ControlState.h"
+
+#include "Configuration/EntrySettingsParser.h"
+#include "TestSupport/ManualClock.h"
+#include "UnitTests/Configuration/SampleDocuments.h"
+
+#include <gtest/gtest.h>
+
+namespace acaciacross::control {
+
+using configuration::ApplyOutcome;
+using configuration::replaced;
+using configuration::SampleClasses;
+using configuration::SampleService;
+using membership::ServingState;
+using namespace std::chrono_literals;
+
+class ControlStateTest : public testing::Test {
+protected:
+  ApplyOutcome apply(const std::string &Key, std::uint64_t Number,
+                     const std::string &Text,
+                     const std::string &Cause = "service") {
+    return this->State
+        .applyConfiguration({Key, common::Revision(Number), Text}, Cause)
+        .Outcome;
+  }
+
+  std::shared_ptr<const query::ServiceView> crew() {
+    return this->State.buildView()->Services.at(
+        common::ServiceName("crew-dispatch"));
+  }
+
+  static std::string classesFor(std::uint32_t MaxEntryVms) {
+    return replaced(SampleClasses, "max_entry_vms = 12",
+                    "max_entry_vms = " + std::to_string(MaxEntryVms));
+  }
+
+  testsupport::ManualClock Time;
+  ControlState State{configuration::EntrySettingsParser::parse(
+                         configuration::SampleSettings, "entry.toml"),
+                     Time};
+};
+
+TEST_F(ControlStateTest, ViewDividesConnectionCapAndComparesZones) {
+  this->apply("classes", 1, SampleClasses);
+  this->apply("service/crew-dispatch", 2, SampleService);
+  const auto View = this->crew();
+  ASSERT_EQ(View->Searchers.size(), 3U);
+  EXPECT_EQ(View->Searchers[0].ConnectionQuota, 2U);
+  EXPECT_TRUE(View->Searchers[0].SameZone);
+  EXPECT_FALSE(View->Searchers[1].SameZone);
+  ASSERT_EQ(View->Snapshots.size(), 1U);
+  EXPECT_EQ(View->Snapshots[0].Shards[1].Replicas,
+            (std::vector<std::uint32_t>{0, 1, 2}));
+}
+
+// Without the deployment budget the whole cap would look like one VM's share.
+TEST_F(ControlStateTest, ViewBeforeClassesNamesNoService) {
+  this->apply("service/crew-dispatch", 2, SampleService);
+  EXPECT_TRUE(this->State.buildView()->Services.empty());
+}
+
+// libcurl takes a connection limit of 0 for "no limit".
+TEST_F(ControlStateTest, SearcherWithoutQuotaGetsNoWork) {
+  this->apply("classes", 1, classesFor(26));
+  this->apply("service/crew-dispatch", 2, SampleService);
+  EXPECT_EQ(this->crew()->Searchers[0].ConnectionQuota, 0U);
+  EXPECT_NE(this->crew()->Searchers[0].Availability,
+            query::SearcherAvailability::Usable);
+}
+
+// Two traffic threads with a whole quota each would exceed the cap.
+TEST_F(ControlStateTest, ServicesAtOneAddressDivideItsQuota) {
+  this->apply("classes", 1, SampleClasses);
+  this->apply("service/crew-dispatch", 2, SampleService);
+  this->apply("service/other", 3, SampleService);
+  EXPECT_EQ(this->crew()->Searchers[0].ConnectionQuota, 1U);
+}
+
+// Evidence under way names the position, which must not come to mean another
+// searcher.
+TEST_F(ControlStateTest, SearcherKeepsItsIndexWhenDocumentsChange) {
+  this->apply("classes", 1, SampleClasses);
+  this->apply("service/crew-dispatch", 2, SampleService);
+  const auto Before = this->crew();
+  const std::string Reordered = replaced(
+      replaced(replaced(SampleService, "id = \"crew-0\"", "id = \"x\""),
+               "id = \"crew-1\"", "id = \"crew-0\""),
+      "id = \"x\"", "id = \"crew-1\"");
+  this->apply("service/crew-dispatch", 3, Reordered);
+  const auto After = this->crew();
+  EXPECT_EQ(After->Searchers[0].Id, Before->Searchers[1].Id);
+  EXPECT_EQ(After->Searchers[0].Index, Before->Searchers[1].Index);
+}
+
+TEST_F(ControlStateTest, StartingVmServesOnceDocumentsAndPeerAnswered) {
+  this->State.notePeerAnswer();
+  this->apply("classes", 1, SampleClasses);
+  EXPECT_EQ(this->State.servingState(), ServingState::Joining);
+  this->apply("service/crew-dispatch", 2, SampleService);
+  EXPECT_EQ(this->State.servingState(), ServingState::Serving);
+}
+
+// The first VM of a fleet has no peer to wait for.
+TEST_F(ControlStateTest, StartingVmWithoutPeerServesAfterJoinTime) {
+  this->apply("classes", 1, SampleClasses);
+  this->apply("service/crew-dispatch", 2, SampleService);
+  this->Time.advance(1999ms);
+  this->State.tick();
+  EXPECT_EQ(this->State.servingState(), ServingState::Joining);
+  this->Time.advance(1ms);
+  this->State.tick();
+  EXPECT_EQ(this->State.servingState(), ServingState::Serving);
+}
+
+TEST_F(ControlStateTest, StartingVmWithoutDocumentsStaysJoining) {
+  this->Time.advance(1h);
+  this->State.notePeerAnswer();
+  this->State.tick();
+  EXPECT_EQ(this->State.servingState(), ServingState::Joining);
+}
+
+// A restarted VM reads a stale configuration service before and after a peer
+// told it the newer revision; it must not go back.
+TEST_F(ControlStateTest, RestartedVmStaysAtWhatPeerGaveItWhenServiceIsStale) {
+  this->apply("classes", 3, classesFor(10));
+  this->apply("service/crew-dispatch", 2, SampleService);
+  EXPECT_EQ(this->State.servingState(), ServingState::Joining);
+  EXPECT_EQ(this->apply("classes", 9, classesFor(12), "peer entry-2"),
+            ApplyOutcome::Accepted);
+  this->State.notePeerAnswer();
+  EXPECT_EQ(this->apply("classes", 3, classesFor(10)), ApplyOutcome::Stale);
+  EXPECT_EQ(this->State.buildView()->Budget.MaxEntryVms, 12U);
+  EXPECT_EQ(this->State.buildView()->InEffect, common::Revision(9));
+}
+
+TEST_F(ControlStateTest, InvalidDocumentIsRefusedAndAcceptedOneStays) {
+  this->apply("classes", 1, classesFor(10));
+  EXPECT_EQ(this->apply("classes", 2, classesFor(0)), ApplyOutcome::Invalid);
+  EXPECT_EQ(this->State.buildView()->Budget.MaxEntryVms, 10U);
+  const AuditEntry Last = this->State.audit().after(0).back();
+  EXPECT_EQ(Last.Subject, "classes");
+  EXPECT_NE(Last.Text.find("revision 2 refused"), std::string::npos);
+}
+
+// Both operators must find their change in the trail, and all VMs must end
+// with the same one, whichever arrives first.
+TEST_F(ControlStateTest, TwoOperatorsAtOnceGiveOneOrderAndTwoEntries) {
+  ControlState Other{this->State.settings(), this->Time};
+  this->apply("classes", 5, classesFor(10));
+  this->apply("classes", 6, classesFor(11));
+  Other.applyConfiguration({"classes", common::Revision(6), classesFor(11)},
+                           "peer entry-1");
+  Other.applyConfiguration({"classes", common::Revision(5), classesFor(10)},
+                           "service");
+  EXPECT_EQ(this->State.configuration().digest(),
+            Other.configuration().digest());
+  EXPECT_EQ(Other.buildView()->Budget.MaxEntryVms, 11U);
+  for (ControlState *Each : {&this->State, &Other}) {
+    const auto Entries = Each->audit().after(0);
+    ASSERT_EQ(Entries.size(), 2U);
+    EXPECT_NE(Entries[0].Text.substr(0, 10), Entries[1].Text.substr(0, 10));
+  }
+}
+
+} // namespace acaciacross::control
--- /dev/null
+++ b/Source/UnitTests/Control/ControlThreadTest.cpp
@@ -0,0 +1,95 @@
+#include "Control/ControlThread.h"
+
+#include "Common/SystemClock.h"
+#include "Configuration/EntrySettingsParser.h"
+#include "UnitTests/Configuration/SampleDocuments.h"
+
+#include <condition_variable>
+#include <future>
+#include <gtest/gtest.h>
+#include <mutex>
+
+namespace acaciacross::control {
+
+using namespace std::chrono_literals;
+
+class ControlThreadTest : public testing::Test, public ViewListener {
+protected:
+  ControlThreadTest() { this->Control.addListener(*this); }
+  ~ControlThreadTest() override { this->Control.stop(); }
+
+  void onView(std::shared_ptr<const ControlView> View) override {
+    const std::lock_guard Guard(this->Mutex);
+    this->Views.push_back(std::move(View));
+    this->Arrived.notify_all();
+  }
+
+  /// Whether a view arrived that Condition accepts.
+  bool waitForView(const std::function<bool(const ControlView &)> &Condition) {
+    std::unique_lock Lock(this->Mutex);
+    return this->Arrived.wait_for(Lock, 10s, [&] {
+      return !this->Views.empty() && Condition(*this->Views.back());
+    });
+  }
+
+  common::SystemClock Time;
+  std::mutex Mutex;
+  std::condition_variable Arrived;
+  std::vector<std::shared_ptr<const ControlView>> Views;
+  ControlThread Control{std::make_unique<ControlState>(
+                            configuration::EntrySettingsParser::parse(
+                                configuration::SampleSettings, "entry.toml"),
+                            Time),
+                        Time};
+};
+
+TEST_F(ControlThreadTest, TaskPostedBeforeStartRunsAndItsChangeIsPublished) {
+  this->Control.post([](ControlState &State) { State.startLeaving(); });
+  this->Control.start();
+  EXPECT_TRUE(this->waitForView([](const ControlView &View) {
+    return View.State == membership::ServingState::Leaving;
+  }));
+}
+
+// Readers take a view that has not been renewed for a sign of a pause.
+TEST_F(ControlThreadTest, ViewIsRenewedWithoutAnyChange) {
+  this->Control.start();
+  ASSERT_TRUE(this->waitForView([](const ControlView &) { return true; }));
+  const auto First = this->Time.monotonicNow();
+  EXPECT_TRUE(this->waitForView(
+      [First](const ControlView &View) { return View.PublishedAt > First; }));
+}
+
+// The notification pipe holds a few thousand entries; a task that posts more
+// must not wait for its own thread.
+TEST_F(ControlThreadTest, TaskThatPostsManyTasksDoesNotBlock) {
+  std::promise<void> Done;
+  std::atomic<int> Count = 0;
+  this->Control.post([&](ControlState &) {
+    for (int I = 0; I < 100'000; ++I)
+      this->Control.post([&](ControlState &) {
+        if (++Count == 100'000)
+          Done.set_value();
+      });
+  });
+  this->Control.start();
+  EXPECT_EQ(Done.get_future().wait_for(60s), std::future_status::ready);
+}
+
+TEST_F(ControlThreadTest, TaskThatThrowsLeavesTheThreadRunning) {
+  this->Control.start();
+  this->Control.post(
+      [](ControlState &) { throw std::runtime_error("fault of a task"); });
+  this->Control.post([](ControlState &State) { State.startLeaving(); });
+  EXPECT_TRUE(this->waitForView([](const ControlView &View) {
+    return View.State == membership::ServingState::Leaving;
+  }));
+}
+
+TEST_F(ControlThreadTest, StopRightAfterStartReturns) {
+  this->Control.start();
+  this->Control.stop();
+  this->Control.post([](ControlState &) { FAIL() << "ran after stop"; });
+}
+
+} // namespace acaciacross::control
