Platform: watcher of the configuration service and poller of the VM list

Each client is a step that a PollingThread repeats. One libcurl multi handle per thread does both the transfers and the sleeps, so curl_multi_wakeup interrupts either; nothing polls. Calls of one reader are at least 250 ms apart, also when the service does not wait; after errors and 429 the wait doubles from 0.5 s to 8 s with jitter (changes are to be in effect within 11 s), and a wake does not bring the next call forward.

cereal's JSON parser is recursive and cuts integers that do not fit, so nesting is bounded before parsing (16 levels) and ports are read as 64 bits. Bodies end at 32 MB. A page with a change above its own revision is refused, because the next call would pass over a later change.

The watcher starts at revision 0 and goes on from what the service itself said, never from what peers said: a peer may lack a key of a lower revision.

--- a/Source/Control/ControlState.cpp
+++ b/Source/Control/ControlState.cpp
@@ -69,6 +69,24 @@
   return Result;
 }
 
+void ControlState::noteServiceRevision(common::Revision At) {
+  this->ServiceAnsweredAt = this->Time.monotonicNow();
+  const common::Revision Here = this->Store.highestRevision();
+  const bool IsStale = At < Here;
+  if (IsStale && !this->ServiceIsStale) {
+    this->note("service", "configuration",
+               "service is stale at revision " + std::to_string(At.Value));
+    common::logWarning(common::LogEvent::ConfigurationServiceStale,
+                       "service=" + std::to_string(At.Value) +
+                           " in_effect=" + std::to_string(Here.Value));
+  }
+  this->ServiceIsStale = IsStale;
+}
+
+std::optional<common::MonotonicTime> ControlState::lastServiceAnswer() const {
+  return this->ServiceAnsweredAt;
+}
+
 void ControlState::notePeerAnswer() {
   this->Joining.notePeerAnswer();
   this->refreshServingState();
--- a/Source/Control/ControlState.h
+++ b/Source/Control/ControlState.h
@@ -15,6 +15,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,10 @@
   configuration::ApplyResult
   applyConfiguration(const configuration::ConfigurationChange &Change,
                      const std::string &Cause);
+  /// The configuration service answered and is at this revision.
+  void noteServiceRevision(common::Revision At);
+  /// When it answered last; empty when it never did.
+  std::optional<common::MonotonicTime> lastServiceAnswer() const;
   /// A peer answered to a pull of the configuration, and its changes have been
   /// applied.
   void notePeerAnswer();
@@ -90,6 +95,9 @@
   std::map<common::ServiceName, std::shared_ptr<const query::ServiceView>>
       ServiceViews;
 
+  std::optional<common::MonotonicTime> ServiceAnsweredAt;
+  bool ServiceIsStale = false;
+
   JoinRule Joining;
   membership::ServingState State = membership::ServingState::Joining;
   std::vector<routing::AddressCandidate> Peers;
--- /dev/null
+++ b/Source/Platform/ConfigurationPageDecoder.h
@@ -0,0 +1,19 @@
+#ifndef ACACIACROSS_PLATFORM_CONFIGURATIONPAGEDECODER_H
+#define ACACIACROSS_PLATFORM_CONFIGURATIONPAGEDECODER_H
+
+#include "Platform/ConfigurationPage.h"
+
+#include <string>
+
+namespace acaciacross::platform {
+
+/// Reads answers to GET /v1/config.
+class ConfigurationPageDecoder {
+public:
+  /// Throws PlatformError.
+  static ConfigurationPage decode(const std::string &Body);
+};
+
+} // namespace acaciacross::platform
+
+#endif
--- /dev/null
+++ b/Source/Platform/HttpFetcher.cpp
@@ -0,0 +1,131 @@
+#include "Platform/HttpFetcher.h"
+
+#include <algorithm>
+#include <curl/curl.h>
+#include <limits>
+#include <mutex>
+#include <new>
+
+namespace acaciacross::platform {
+
+namespace {
+
+constexpr std::chrono::milliseconds ConnectTimeout{2'000};
+// Bounds each poll; transfers end by their own timeout before.
+constexpr std::chrono::milliseconds PollPeriod{60'000};
+
+std::size_t appendBody(char *Data, std::size_t Size, std::size_t Count,
+                       void *Target) {
+  auto *Body = static_cast<std::string *>(Target);
+  const std::size_t Length = Size * Count;
+  if (Body->size() + Length > HttpFetcher::MaxBodyBytes)
+    return 0;
+  Body->append(Data, Length);
+  return Length;
+}
+
+void initializeCurl() {
+  static std::once_flag Once;
+  std::call_once(Once, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
+}
+
+} // namespace
+
+class HttpFetcher::Handles {
+public:
+  Handles() : Multi(curl_multi_init()), Easy(curl_easy_init()) {
+    if (this->Multi == nullptr || this->Easy == nullptr)
+      throw std::bad_alloc();
+  }
+  ~Handles() {
+    curl_easy_cleanup(this->Easy);
+    curl_multi_cleanup(this->Multi);
+  }
+  Handles(const Handles &) = delete;
+  Handles &operator=(const Handles &) = delete;
+
+  void prepare(const std::string &Url, std::chrono::milliseconds Timeout,
+               std::string &Body) {
+    curl_easy_reset(this->Easy);
+    curl_easy_setopt(this->Easy, CURLOPT_URL, Url.c_str());
+    curl_easy_setopt(this->Easy, CURLOPT_HTTPGET, 1L);
+    curl_easy_setopt(this->Easy, CURLOPT_NOSIGNAL, 1L);
+    // A proxy of the environment is not part of the platform.
+    curl_easy_setopt(this->Easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(this->Easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     static_cast<long>(ConnectTimeout.count()));
+    curl_easy_setopt(this->Easy, CURLOPT_TIMEOUT_MS,
+                     static_cast<long>(Timeout.count()));
+    curl_easy_setopt(this->Easy, CURLOPT_WRITEFUNCTION, appendBody);
+    curl_easy_setopt(this->Easy, CURLOPT_WRITEDATA, &Body);
+  }
+
+  /// Whether the transfer has ended, and how.
+  bool hasEnded(CURLcode &Result) {
+    int Left = 0;
+    while (const CURLMsg *Message = curl_multi_info_read(this->Multi, &Left)) {
+      if (Message->msg != CURLMSG_DONE)
+        continue;
+      Result = Message->data.result;
+      return true;
+    }
+    return false;
+  }
+
+  void poll(std::chrono::milliseconds Time) {
+    curl_multi_poll(this->Multi, nullptr, 0, static_cast<int>(Time.count()),
+                    nullptr);
+  }
+
+  CURLM *Multi;
+  CURL *Easy;
+};
+
+HttpFetcher::HttpFetcher() {
+  initializeCurl();
+  this->Curl = std::make_unique<Handles>();
+}
+
+HttpFetcher::~HttpFetcher() = default;
+
+HttpReply HttpFetcher::get(const common::Address &Server,
+                           const std::string &Path,
+                           std::chrono::milliseconds Timeout,
+                           const std::function<bool()> &IsCancelled) {
+  HttpReply Reply;
+  const std::string Url = "http://" + Server.toString() + Path;
+  this->Curl->prepare(Url, Timeout, Reply.Body);
+  curl_multi_add_handle(this->Curl->Multi, this->Curl->Easy);
+
+  CURLcode Result = CURLE_OK;
+  int Running = 0;
+  while (true) {
+    Reply.Cancelled = IsCancelled();
+    if (Reply.Cancelled)
+      break;
+    const CURLMcode Status = curl_multi_perform(this->Curl->Multi, &Running);
+    if (Status != CURLM_OK) {
+      Reply.Error = curl_multi_strerror(Status);
+      break;
+    }
+    if (this->Curl->hasEnded(Result))
+      break;
+    this->Curl->poll(PollPeriod);
+  }
+  // Removal closes a connection whose transfer has not ended.
+  curl_multi_remove_handle(this->Curl->Multi, this->Curl->Easy);
+  if (Result != CURLE_OK)
+    Reply.Error = curl_easy_strerror(Result);
+  if (!Reply.Cancelled && Reply.Error.empty())
+    curl_easy_getinfo(this->Curl->Easy, CURLINFO_RESPONSE_CODE, &Reply.Status);
+  return Reply;
+}
+
+void HttpFetcher::wait(std::chrono::milliseconds Time) {
+  this->Curl->poll(std::min<std::chrono::milliseconds>(
+      Time, std::chrono::milliseconds(std::numeric_limits<int>::max())));
+}
+
+void HttpFetcher::wake() { curl_multi_wakeup(this->Curl->Multi); }
+
+} // namespace acaciacross::platform
