--- a/Source/Query/QueryExecution.cpp
+++ b/Source/Query/QueryExecution.cpp
@@ -184,7 +184,12 @@
                                     common::MonotonicTime Now) {
   ShardProgress &Progress = this->Shards[Shard];
   const ShardView &View = this->snapshot().Shards[Shard];
-  Progress.IsRestartDue = Progress.IsSnapshotLost;
+  // Replicas that only shed or failed may still hold the snapshot; a restart
+  // would throw away the partial results and ask every shard again.
+  const bool IsAnyLeft =
+      this->Dependencies.Replicas.select(*this->Service, View, Progress.Dropped)
+          .has_value();
+  Progress.IsRestartDue = Progress.IsSnapshotLost && !IsAnyLeft;
   if (Progress.Dropped.size() >= View.Replicas.size()) {
     Progress.IsGivenUp = true;
     return;
@@ -325,8 +330,9 @@
     Progress.IsPrepaid = true;
     ++this->Statistics.FreeReplacements;
   }
-  const bool IsExpired = Status == AttemptStatus::ExpiredBeforeStart ||
-                         Now >= this->Request.Deadline;
+  // A searcher whose clock is ahead says "expired" too early; the clock of this
+  // VM decides, and another replica is asked while time is left.
+  const bool IsExpired = Now >= this->Request.Deadline;
   const bool IsRepeatForbidden =
       !this->Request.Repeatable && !provesNotRun(Status);
   if (IsExpired || IsRepeatForbidden) {
--- a/Source/TestSupport/DeliveryRecord.h
+++ b/Source/TestSupport/DeliveryRecord.h
@@ -3,7 +3,7 @@
 
 #include "Common/AttemptId.h"
 #include "Common/Identifiers.h"
-#include "Common/Time.h"
+#include "Common/KeyRange.h"
 
 #include <string>
 
@@ -15,7 +15,7 @@
   common::RequestId Request;
   common::SnapshotId Snapshot;
   common::ShardId Shard;
-  common::MonotonicTime At;
+  common::KeyRange Range;
   std::string Body;
 };
 
--- a/Source/TestSupport/FakeSearchers.cpp
+++ b/Source/TestSupport/FakeSearchers.cpp
@@ -267,7 +267,7 @@
   if (this->Settings.KeepsRecords)
     this->Deliveries.push_back({Flight.Spec.Id, Flight.Spec.Request,
                                 Flight.Spec.Snapshot, Flight.Spec.Shard,
-                                this->Events.now(), Reply.Body});
+                                Reply.Range, Reply.Body});
   return Reply;
 }
 
--- a/Source/TestSupport/QueryRun.h
+++ b/Source/TestSupport/QueryRun.h
@@ -13,10 +13,9 @@
   QueryRun(query::QueryRequest Accepted,
            std::shared_ptr<const query::ServiceView> View,
            query::QueryDependencies Used, common::MonotonicTime StartedAt)
-      : View(View), Execution(std::move(Accepted), std::move(View), Used),
+      : Execution(std::move(Accepted), std::move(View), Used),
         StartedAt(StartedAt) {}
 
-  std::shared_ptr<const query::ServiceView> View;
   query::QueryExecution Execution;
   common::MonotonicTime StartedAt;
   common::MonotonicTime FinishedAt;
--- a/Source/TestSupport/QueryRunner.cpp
+++ b/Source/TestSupport/QueryRunner.cpp
@@ -55,8 +55,10 @@
   this->afterStep(Number);
 }
 
-const QueryRun &QueryRunner::run(std::uint64_t Number) const {
-  return *this->Runs.at(Number);
+void QueryRunner::onViewChanged(
+    const std::shared_ptr<const query::ServiceView> &Newest) {
+  for (const auto &[Number, Run] : this->Runs)
+    Run->Execution.onViewChanged(Newest);
 }
 
 void QueryRunner::start(const query::AttemptSpec &Spec) {
--- a/Source/TestSupport/QueryRunner.h
+++ b/Source/TestSupport/QueryRunner.h
@@ -25,13 +25,14 @@
   /// Keeps finished queries, which then see replies that come after their end.
   void keepFinished();
 
-  /// Returns a number for abort() and run().
+  /// Returns a number for abort().
   std::uint64_t submit(query::QueryRequest Request,
                        std::shared_ptr<const query::ServiceView> View,
                        query::HedgePolicy &Hedging, query::LoadBudget &Budget);
   void onResult(const query::AttemptResult &Result);
   void abort(std::uint64_t Number, common::ResultCode Reason);
-  const QueryRun &run(std::uint64_t Number) const;
+  /// Gives the newest view to all running queries.
+  void onViewChanged(const std::shared_ptr<const query::ServiceView> &Newest);
 
   void start(const query::AttemptSpec &Spec) override;
   void cancel(const common::AttemptId &Id) override;
--- /dev/null
+++ b/Source/TestSupport/ScriptedPort.h
@@ -0,0 +1,26 @@
+#ifndef ACACIACROSS_TESTSUPPORT_SCRIPTEDPORT_H
+#define ACACIACROSS_TESTSUPPORT_SCRIPTEDPORT_H
+
+#include "Query/AttemptPort.h"
+
+#include <vector>
+
+namespace acaciacross::testsupport {
+
+/// Keeps what was started and cancelled; the test makes up the results.
+class ScriptedPort final : public query::AttemptPort {
+public:
+  void start(const query::AttemptSpec &Spec) override {
+    this->Started.push_back(Spec);
+  }
+  void cancel(const common::AttemptId &Id) override {
+    this->Cancelled.push_back(Id);
+  }
+
+  std::vector<query::AttemptSpec> Started;
+  std::vector<common::AttemptId> Cancelled;
+};
+
+} // namespace acaciacross::testsupport
+
+#endif
