--- /dev/null
+++ b/Source/Limits/AdmissionClass.h
@@ -0,0 +1,21 @@
+#ifndef ACACIACROSS_LIMITS_ADMISSIONCLASS_H
+#define ACACIACROSS_LIMITS_ADMISSIONCLASS_H
+
+#include <chrono>
+#include <cstddef>
+
+namespace acaciacross::limits {
+
+/// What the admission queue needs to know of a class.
+struct AdmissionClass {
+  /// Part of the service that the class gets while others wait, too.
+  double Weight = 1.0;
+  std::chrono::nanoseconds LatencyTarget = std::chrono::milliseconds(100);
+  /// In percent.
+  double TargetPercentile = 99.0;
+  std::size_t MaxQueued = 256;
+};
+
+} // namespace acaciacross::limits
+
+#endif
--- /dev/null
+++ b/Source/Limits/AdmissionEntry.h
@@ -0,0 +1,21 @@
+#ifndef ACACIACROSS_LIMITS_ADMISSIONENTRY_H
+#define ACACIACROSS_LIMITS_ADMISSIONENTRY_H
+
+#include "Common/Identifiers.h"
+#include "Common/Time.h"
+
+#include <cstdint>
+
+namespace acaciacross::limits {
+
+/// A request that asks to run. The owner keeps the request under Number.
+struct AdmissionEntry {
+  std::uint64_t Number = 0;
+  common::ClassName Class;
+  common::MonotonicTime Arrived;
+  common::MonotonicTime Deadline;
+};
+
+} // namespace acaciacross::limits
+
+#endif
