Peering: datagrams, transfers and their sockets

Cause: entry VMs need probes over UDP and configuration over TCP.

Messages are cereal portable binary with a version byte, lengths of one, two or four bytes instead of cereal's eight, and bounds on every text, list and frame that are checked before anything is allocated. A malformed message is dropped, counted and logged as event 600, at most once a second.

Transfers run on the reactor without blocking: one request and one reply per connection, 3 s for both, 16 connections per server, 128 KB per request and 4 MB per reply; what does not fit is pulled again.

Tests: 10,000 random or damaged inputs for datagrams and 10,000 for transfers are read or refused; an 0.9 MB document, a silent peer and a frame that announces 2 GB over loopback.

--- /dev/null
+++ b/Source/Peering/DatagramCodec.cpp
@@ -0,0 +1,162 @@
+#include "Peering/DatagramCodec.h"
+
+#include "Peering/MessageLimits.h"
+#include "Peering/PeerMessageError.h"
+#include "Peering/WireReader.h"
+#include "Peering/WireWriter.h"
+
+#include <algorithm>
+
+namespace acaciacross::peering {
+
+namespace {
+
+using membership::DrainNotice;
+using membership::Heartbeat;
+using membership::MemberStatus;
+using membership::MemberUpdate;
+using membership::ServingState;
+
+std::size_t encodedSize(const MemberUpdate &Update) {
+  return 1 + Update.Vm.Value.size() + 8 + 1 + 4 + 2;
+}
+
+std::size_t encodedSize(const DrainNotice &Notice) {
+  return 1 + Notice.Searcher.Value.size() + 4;
+}
+
+/// How many entries from the front fit; takes their bytes off Room.
+template <typename Entry>
+std::size_t fitting(const std::vector<Entry> &Entries, std::size_t Max,
+                    std::size_t &Room) {
+  std::size_t Count = 0;
+  while (Count < std::min(Max, Entries.size()) &&
+         encodedSize(Entries[Count]) <= Room) {
+    Room -= encodedSize(Entries[Count]);
+    ++Count;
+  }
+  return Count;
+}
+
+void writeStatus(WireWriter &Out, const MemberStatus &Status, bool IsAck) {
+  Out.name(Status.Vm.Value, MaxNameBytes);
+  Out.number(Status.Run.Value);
+  Out.number(static_cast<std::uint8_t>(Status.State));
+  Out.number(Status.InEffect.Value);
+  Out.number(Status.ConfigurationDigest);
+  if (!IsAck)
+    return;
+  Out.address(Status.Callers);
+  Out.name(Status.FailureDomain, MaxNameBytes);
+}
+
+void writeUpdate(WireWriter &Out, const MemberUpdate &Update) {
+  Out.name(Update.Vm.Value, MaxNameBytes);
+  Out.number(Update.Run.Value);
+  Out.number(static_cast<std::uint8_t>(Update.State));
+  Out.address(Update.Peers);
+}
+
+void writeNotice(WireWriter &Out, const DrainNotice &Notice) {
+  const auto Age =
+      std::clamp(Notice.Age, std::chrono::milliseconds(0), MaxDrainAge);
+  Out.name(Notice.Searcher.Value, MaxNameBytes);
+  Out.number(static_cast<std::uint32_t>(Age.count()));
+}
+
+std::string encode(MessageKind Kind, std::uint64_t Sequence,
+                   const Heartbeat &Content) {
+  WireWriter Out(Kind);
+  Out.number(Sequence);
+  writeStatus(Out, Content.Sender, Kind == MessageKind::ProbeAck);
+  constexpr std::size_t CountBytes = 4;
+  std::size_t Room = MaxDatagramBytes - CountBytes - Out.size();
+  const std::size_t Updates =
+      fitting(Content.Updates, membership::MaxMemberUpdates, Room);
+  const std::size_t Notices =
+      fitting(Content.Drains, membership::MaxDrainNotices, Room);
+  Out.number(static_cast<std::uint16_t>(Updates));
+  for (std::size_t Index = 0; Index < Updates; ++Index)
+    writeUpdate(Out, Content.Updates[Index]);
+  Out.number(static_cast<std::uint16_t>(Notices));
+  for (std::size_t Index = 0; Index < Notices; ++Index)
+    writeNotice(Out, Content.Drains[Index]);
+  return Out.bytes();
+}
+
+ServingState readState(WireReader &In) {
+  const auto Number = In.number<std::uint8_t>();
+  if (Number > static_cast<std::uint8_t>(ServingState::Leaving))
+    throw PeerMessageError("unknown serving state " + std::to_string(Number));
+  return static_cast<ServingState>(Number);
+}
+
+MemberStatus readStatus(WireReader &In) {
+  MemberStatus Status;
+  Status.Vm = common::VmId(In.name(MaxNameBytes));
+  Status.Run = common::Incarnation(In.number<std::uint64_t>());
+  Status.State = readState(In);
+  Status.InEffect = common::Revision(In.number<std::uint64_t>());
+  Status.ConfigurationDigest = In.number<std::uint64_t>();
+  if (In.kind() != MessageKind::ProbeAck)
+    return Status;
+  Status.Callers = In.address();
+  Status.FailureDomain = In.name(MaxNameBytes);
+  return Status;
+}
+
+MemberUpdate readUpdate(WireReader &In) {
+  MemberUpdate Update;
+  Update.Vm = common::VmId(In.name(MaxNameBytes));
+  Update.Run = common::Incarnation(In.number<std::uint64_t>());
+  Update.State = readState(In);
+  Update.Peers = In.address();
+  return Update;
+}
+
+DrainNotice readNotice(WireReader &In) {
+  DrainNotice Notice;
+  Notice.Searcher = common::SearcherId(In.name(MaxNameBytes));
+  Notice.Age = std::chrono::milliseconds(In.number<std::uint32_t>());
+  if (Notice.Age > MaxDrainAge)
+    throw PeerMessageError("a drain notice that is too old");
+  return Notice;
+}
+
+Heartbeat readHeartbeat(WireReader &In) {
+  Heartbeat Content;
+  Content.Sender = readStatus(In);
+  const std::size_t Updates = In.count(membership::MaxMemberUpdates);
+  for (std::size_t Index = 0; Index < Updates; ++Index)
+    Content.Updates.push_back(readUpdate(In));
+  const std::size_t Notices = In.count(membership::MaxDrainNotices);
+  for (std::size_t Index = 0; Index < Notices; ++Index)
+    Content.Drains.push_back(readNotice(In));
+  In.finish();
+  return Content;
+}
+
+} // namespace
+
+std::string encodeDatagram(const PeerDatagram &Message) {
+  if (const auto *Probe = std::get_if<ProbeMessage>(&Message))
+    return encode(MessageKind::Probe, Probe->Sequence, Probe->Content);
+  const auto &Ack = std::get<ProbeAckMessage>(Message);
+  return encode(MessageKind::ProbeAck, Ack.Sequence, Ack.Content);
+}
+
+PeerDatagram decodeDatagram(std::string_view Bytes) try {
+  if (Bytes.size() > MaxDatagramBytes)
+    throw PeerMessageError("a datagram over the limit");
+  WireReader In(Bytes);
+  const auto Sequence = In.number<std::uint64_t>();
+  if (In.kind() == MessageKind::Probe)
+    return ProbeMessage{Sequence, readHeartbeat(In)};
+  if (In.kind() == MessageKind::ProbeAck)
+    return ProbeAckMessage{Sequence, readHeartbeat(In)};
+  throw PeerMessageError("a kind that is not sent in datagrams");
+} catch (const cereal::Exception &Error) {
+  throw PeerMessageError(Error.what());
+}
+
+} // namespace acaciacross::peering
--- /dev/null
+++ b/Source/Peering/DatagramListener.h
@@ -0,0 +1,23 @@
+#ifndef ACACIACROSS_PEERING_DATAGRAMLISTENER_H
+#define ACACIACROSS_PEERING_DATAGRAMLISTENER_H
+
+#include "Common/Address.h"
+#include "Peering/ProbeAckMessage.h"
+#include "Peering/ProbeMessage.h"
+
+namespace acaciacross::peering {
+
+/// Receives well-formed datagrams on the control thread.
+class DatagramListener {
+public:
+  virtual ~DatagramListener() = default;
+
+  virtual void onProbe(const common::Address &From,
+                       const ProbeMessage &Message) = 0;
+  virtual void onAck(const common::Address &From,
+                     const ProbeAckMessage &Message) = 0;
+};
+
+} // namespace acaciacross::peering
+
+#endif
--- /dev/null
+++ b/Source/Peering/DropCounter.cpp
@@ -0,0 +1,25 @@
+#include "Peering/DropCounter.h"
+
+#include "Common/Log.h"
+
+#include <chrono>
+#include <string>
+
+namespace acaciacross::peering {
+
+void DropCounter::note(const common::Address &From, std::string_view Reason,
+                       common::MonotonicTime Now) {
+  ++this->Total;
+  if (Now < this->NextLogAt)
+    return;
+  this->NextLogAt = Now + std::chrono::seconds(1);
+  common::logWarning(
+      common::LogEvent::MessageDropped,
+      "from=" + From.toString() + " reason=\"" + std::string(Reason) +
+          "\" count=" + std::to_string(this->Total - this->Logged));
+  this->Logged = this->Total;
+}
+
+std::uint64_t DropCounter::total() const { return this->Total; }
+
+} // namespace acaciacross::peering
--- /dev/null
+++ b/Source/Peering/PeerDatagram.h
@@ -0,0 +1,16 @@
+#ifndef ACACIACROSS_PEERING_PEERDATAGRAM_H
+#define ACACIACROSS_PEERING_PEERDATAGRAM_H
+
+#include "Peering/ProbeAckMessage.h"
+#include "Peering/ProbeMessage.h"
+
+#include <variant>
+
+namespace acaciacross::peering {
+
+/// What a UDP datagram between entry VMs may hold.
+using PeerDatagram = std::variant<ProbeMessage, ProbeAckMessage>;
+
+} // namespace acaciacross::peering
+
+#endif
--- /dev/null
+++ b/Source/Peering/ProbeMessage.h
@@ -0,0 +1,21 @@
+#ifndef ACACIACROSS_PEERING_PROBEMESSAGE_H
+#define ACACIACROSS_PEERING_PROBEMESSAGE_H
+
+#include "Membership/Heartbeat.h"
+
+#include <cstdint>
+
+namespace acaciacross::peering {
+
+/// Asks a peer for an acknowledgement. Caller address and failure domain of the
+/// sender are not encoded: a probe is no evidence, so nobody would use them.
+struct ProbeMessage {
+  std::uint64_t Sequence = 0;
+  membership::Heartbeat Content;
+
+  bool operator==(const ProbeMessage &) const = default;
+};
+
+} // namespace acaciacross::peering
+
+#endif
--- /dev/null
+++ b/Source/Peering/ProbeSocket.cpp
@@ -0,0 +1,108 @@
+#include "Peering/ProbeSocket.h"
+
+#include "Common/Error.h"
+#include "Peering/DatagramCodec.h"
+#include "Peering/MessageLimits.h"
+#include "Peering/PeerMessageError.h"
+
+#include <ace/INET_Addr.h>
+#include <ace/Reactor.h>
+#include <array>
+
+namespace acaciacross::peering {
+
+namespace {
+
+// The control thread has other work; what is left is read in the next round of
+// the reactor.
+constexpr int MaxDatagramsPerEvent = 64;
+
+common::Address fromAce(const ACE_INET_Addr &Peer) {
+  return common::Address{Peer.get_host_addr(), Peer.get_port_number()};
+}
+
+} // namespace
+
+ProbeSocket::ProbeSocket(const common::Address &Local, ACE_Reactor &Events,
+                         DatagramListener &Receiver,
+                         const common::Clock &TimeSource)
+    : ACE_Event_Handler(&Events), Listener(Receiver), Time(TimeSource) {
+  const ACE_INET_Addr Bound(Local.Port, Local.Host.c_str());
+  if (this->Socket.open(Bound) < 0 || this->Socket.enable(ACE_NONBLOCK) < 0 ||
+      Events.register_handler(this, ACE_Event_Handler::READ_MASK) < 0) {
+    this->Socket.close();
+    throw common::Error(common::ResultCode::SocketFailed,
+                        "no UDP socket at " + Local.toString());
+  }
+}
+
+ProbeSocket::~ProbeSocket() {
+  this->reactor()->remove_handler(this, ACE_Event_Handler::ALL_EVENTS_MASK |
+                                            ACE_Event_Handler::DONT_CALL);
+  this->Socket.close();
+}
+
+void ProbeSocket::sendProbe(const common::Address &To, std::uint64_t Sequence,
+                            const membership::Heartbeat &Content) {
+  this->send(To, ProbeMessage{Sequence, Content});
+}
+
+void ProbeSocket::sendAck(const common::Address &To, std::uint64_t Sequence,
+                          const membership::Heartbeat &Content) {
+  this->send(To, ProbeAckMessage{Sequence, Content});
+}
+
+common::Address ProbeSocket::local() const {
+  ACE_INET_Addr Bound;
+  this->Socket.get_local_addr(Bound);
+  return fromAce(Bound);
+}
+
+std::uint64_t ProbeSocket::dropped() const { return this->Drops.total(); }
+
+std::uint64_t ProbeSocket::bytesSent() const { return this->BytesSent; }
+
+ACE_HANDLE ProbeSocket::get_handle() const { return this->Socket.get_handle(); }
+
+int ProbeSocket::handle_input(ACE_HANDLE) {
+  // One byte more than allowed shows that a datagram was longer.
+  std::array<char, MaxDatagramBytes + 1> Buffer{};
+  for (int Count = 0; Count < MaxDatagramsPerEvent; ++Count) {
+    ACE_INET_Addr Peer;
+    const ssize_t Length =
+        this->Socket.recv(Buffer.data(), Buffer.size(), Peer);
+    if (Length < 0)
+      return 0;
+    this->receive(fromAce(Peer), std::string_view(Buffer.data(), Length));
+  }
+  return 0;
+}
+
+// A datagram that the socket buffer does not take is lost like one that the
+// network drops.
+void ProbeSocket::send(const common::Address &To, const PeerDatagram &Message) {
+  try {
+    const std::string Bytes = encodeDatagram(Message);
+    const ACE_INET_Addr Peer(To.Port, To.Host.c_str());
+    if (this->Socket.send(Bytes.data(), Bytes.size(), Peer) > 0)
+      this->BytesSent += Bytes.size();
+  } catch (const PeerMessageError &Error) {
+    this->Drops.note(To, Error.what(), this->Time.monotonicNow());
+  }
+}
+
+void ProbeSocket::receive(const common::Address &From, std::string_view Bytes) {
+  PeerDatagram Message;
+  try {
+    Message = decodeDatagram(Bytes);
+  } catch (const PeerMessageError &Error) {
+    this->Drops.note(From, Error.what(), this->Time.monotonicNow());
+    return;
+  }
+  if (const auto *Probe = std::get_if<ProbeMessage>(&Message))
+    this->Listener.onProbe(From, *Probe);
+  else
+    this->Listener.onAck(From, std::get<ProbeAckMessage>(Message));
+}
+
+} // namespace acaciacross::peering
--- /dev/null
+++ b/Source/Peering/ProbeSocket.h
@@ -0,0 +1,58 @@
+#ifndef ACACIACROSS_PEERING_PROBESOCKET_H
+#define ACACIACROSS_PEERING_PROBESOCKET_H
+
+#include "Common/Clock.h"
+#include "Membership/PeerChannel.h"
+#include "Peering/DatagramListener.h"
+#include "Peering/DropCounter.h"
+#include "Peering/PeerDatagram.h"
+
+#include <ace/Event_Handler.h>
+#include <ace/SOCK_Dgram.h>
+#include <cstdint>
+#include <string_view>
+
+namespace acaciacross::peering {
+
+/// The UDP socket for probes and acknowledgements, on the control thread's
+/// reactor.
+class ProbeSocket final : public ACE_Event_Handler,
+                          public membership::PeerChannel {
+public:
+  /// Throws common::Error (SocketFailed). All arguments must outlive this.
+  ProbeSocket(const common::Address &Local, ACE_Reactor &Events,
+              DatagramListener &Receiver, const common::Clock &TimeSource);
+  ~ProbeSocket() override;
+  ProbeSocket(const ProbeSocket &) = delete;
+  ProbeSocket &operator=(const ProbeSocket &) = delete;
+
+  void sendProbe(const common::Address &To, std::uint64_t Sequence,
+                 const membership::Heartbeat &Content) override;
+  void sendAck(const common::Address &To, std::uint64_t Sequence,
+               const membership::Heartbeat &Content) override;
+
+  /// The address that the socket is bound to.
+  common::Address local() const;
+
+  /// Messages that were malformed or could not be encoded, so far.
+  std::uint64_t dropped() const;
+  /// Payload bytes sent so far.
+  std::uint64_t bytesSent() const;
+
+private:
+  ACE_HANDLE get_handle() const override;
+  int handle_input(ACE_HANDLE Handle) override;
+
+  void send(const common::Address &To, const PeerDatagram &Message);
+  void receive(const common::Address &From, std::string_view Bytes);
+
+  DatagramListener &Listener;
+  const common::Clock &Time;
+  ACE_SOCK_Dgram Socket;
+  DropCounter Drops;
+  std::uint64_t BytesSent = 0;
+};
+
+} // namespace acaciacross::peering
+
+#endif
--- /dev/null
+++ b/Source/Peering/TransferCodec.cpp
@@ -0,0 +1,110 @@
+#include "Peering/TransferCodec.h"
+
+#include "Peering/MessageLimits.h"
+#include "Peering/PeerMessageError.h"
+#include "Peering/WireReader.h"
+#include "Peering/WireWriter.h"
+
+#include <algorithm>
+
+namespace acaciacross::peering {
+
+namespace {
+
+using configuration::ConfigurationChange;
+
+// Endianness, version, kind, the flag for more, and the count.
+constexpr std::size_t FixedBytes = 6;
+
+std::size_t encodedSize(const ConfigurationChange &Change) {
+  return 1 + Change.Key.size() + 8 + 4 + Change.Text.size();
+}
+
+std::size_t fittingCount(const std::vector<ConfigurationChange> &Changes) {
+  std::size_t Room = MaxChangesBytes - FixedBytes;
+  std::size_t Count = 0;
+  while (Count < std::min(MaxKeys, Changes.size()) &&
+         encodedSize(Changes[Count]) <= Room) {
+    Room -= encodedSize(Changes[Count]);
+    ++Count;
+  }
+  return Count;
+}
+
+void expectKind(const WireReader &In, MessageKind Kind) {
+  if (In.kind() != Kind)
+    throw PeerMessageError("another kind of message than expected");
+}
+
+ConfigurationChange readChange(WireReader &In) {
+  ConfigurationChange Change;
+  Change.Key = In.name(MaxKeyBytes);
+  Change.Number = common::Revision(In.number<std::uint64_t>());
+  Change.Text = In.document(MaxDocumentBytes);
+  return Change;
+}
+
+} // namespace
+
+std::string encodePull(const ConfigurationPullMessage &Message) {
+  WireWriter Out(MessageKind::ConfigurationPull);
+  const std::size_t Count = std::min(MaxKeys, Message.Known.size());
+  Out.number(static_cast<std::uint16_t>(Count));
+  auto Entry = Message.Known.begin();
+  for (std::size_t Index = 0; Index < Count; ++Index, ++Entry) {
+    Out.name(Entry->first, MaxKeyBytes);
+    Out.number(Entry->second.Value);
+  }
+  return Out.bytes();
+}
+
+ConfigurationPullMessage decodePull(std::string_view Bytes) try {
+  if (Bytes.size() > MaxPullBytes)
+    throw PeerMessageError("a pull over the limit");
+  WireReader In(Bytes);
+  expectKind(In, MessageKind::ConfigurationPull);
+  ConfigurationPullMessage Message;
+  const std::size_t Count = In.count(MaxKeys);
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    const std::string Key = In.name(MaxKeyBytes);
+    Message.Known[Key] = common::Revision(In.number<std::uint64_t>());
+  }
+  In.finish();
+  return Message;
+} catch (const cereal::Exception &Error) {
+  throw PeerMessageError(Error.what());
+}
+
+std::string encodeChanges(const std::vector<ConfigurationChange> &Changes) {
+  WireWriter Out(MessageKind::ConfigurationChanges);
+  const std::size_t Count = fittingCount(Changes);
+  Out.number(static_cast<std::uint8_t>(Count < Changes.size() ? 1 : 0));
+  Out.number(static_cast<std::uint16_t>(Count));
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    Out.name(Changes[Index].Key, MaxKeyBytes);
+    Out.number(Changes[Index].Number.Value);
+    Out.document(Changes[Index].Text, MaxDocumentBytes);
+  }
+  return Out.bytes();
+}
+
+ConfigurationChangesMessage decodeChanges(std::string_view Bytes) try {
+  if (Bytes.size() > MaxChangesBytes)
+    throw PeerMessageError("changes over the limit");
+  WireReader In(Bytes);
+  expectKind(In, MessageKind::ConfigurationChanges);
+  ConfigurationChangesMessage Message;
+  const auto More = In.number<std::uint8_t>();
+  if (More > 1)
+    throw PeerMessageError("a flag that is neither 0 nor 1");
+  Message.HasMore = More == 1;
+  const std::size_t Count = In.count(MaxKeys);
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    Message.Changes.push_back(readChange(In));
+  In.finish();
+  return Message;
+} catch (const cereal::Exception &Error) {
+  throw PeerMessageError(Error.what());
+}
+
+} // namespace acaciacross::peering
--- /dev/null
+++ b/Source/Peering/TransferCodec.h
@@ -0,0 +1,29 @@
+#ifndef ACACIACROSS_PEERING_TRANSFERCODEC_H
+#define ACACIACROSS_PEERING_TRANSFERCODEC_H
+
+#include "Peering/ConfigurationChangesMessage.h"
+#include "Peering/ConfigurationPullMessage.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace acaciacross::peering {
+
+/// Keys beyond MaxKeys are left out. Throws PeerMessageError.
+std::string encodePull(const ConfigurationPullMessage &Message);
+
+/// Throws PeerMessageError.
+ConfigurationPullMessage decodePull(std::string_view Bytes);
+
+/// Encodes as many changes from the front as fit into MaxChangesBytes. Throws
+/// PeerMessageError.
+std::string
+encodeChanges(const std::vector<configuration::ConfigurationChange> &Changes);
+
+/// Throws PeerMessageError.
+ConfigurationChangesMessage decodeChanges(std::string_view Bytes);
+
+} // namespace acaciacross::peering
+
+#endif
--- /dev/null
+++ b/Source/Peering/WireWriter.h
@@ -0,0 +1,42 @@
+#ifndef ACACIACROSS_PEERING_WIREWRITER_H
+#define ACACIACROSS_PEERING_WIREWRITER_H
+
+#include "Common/Address.h"
+#include "Peering/MessageKind.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <sstream>
+#include <string>
+#include <string_view>
+
+namespace acaciacross::peering {
+
+/// Writes the fields of one message. Throws PeerMessageError when a field is
+/// longer than its bound.
+class WireWriter {
+public:
+  explicit WireWriter(MessageKind Kind);
+
+  template <typename Number> void number(Number Value) { this->Archive(Value); }
+
+  /// Length in one byte.
+  void name(std::string_view Text, std::size_t MaxBytes);
+  /// Length in four bytes.
+  void document(std::string_view Text, std::size_t MaxBytes);
+  void address(const common::Address &Value);
+
+  std::size_t size();
+  std::string bytes() const;
+
+private:
+  void rawBytes(std::string_view Text);
+
+  std::ostringstream Stream;
+  cereal::PortableBinaryOutputArchive Archive;
+};
+
+} // namespace acaciacross::peering
+
+#endif
--- /dev/null
+++ b/Source/UnitTests/Peering/DatagramCodecTest.cpp
@@ -0,0 +1,96 @@
+#include "Peering/DatagramCodec.h"
+
+#include "Common/SeededRandom.h"
+#include "Peering/MessageLimits.h"
+#include "Peering/PeerMessageError.h"
+#include "UnitTests/Peering/MessageSamples.h"
+
+#include <gtest/gtest.h>
+
+namespace acaciacross::peering {
+
+class DatagramCodecTest : public testing::Test {
+protected:
+  static constexpr int RandomInputs = 10000;
+
+  static bool isRefused(const std::string &Bytes) {
+    try {
+      decodeDatagram(Bytes);
+      return false;
+    } catch (const PeerMessageError &) {
+      return true;
+    }
+  }
+};
+
+TEST_F(DatagramCodecTest, AckComesBackWhole) {
+  const ProbeAckMessage Sent{12, sampleHeartbeat(8, 16)};
+  const PeerDatagram Read = decodeDatagram(encodeDatagram(Sent));
+  EXPECT_EQ(std::get<ProbeAckMessage>(Read), Sent);
+}
+
+TEST_F(DatagramCodecTest, ProbeComesBackWithoutCallersAndFailureDomain) {
+  ProbeMessage Sent{12, sampleHeartbeat(8, 16)};
+  const PeerDatagram Read = decodeDatagram(encodeDatagram(Sent));
+  Sent.Content.Sender.Callers = {};
+  Sent.Content.Sender.FailureDomain.clear();
+  EXPECT_EQ(std::get<ProbeMessage>(Read), Sent);
+}
+
+// Longest names would need 2 KB; the datagram must stay below the path MTU.
+TEST_F(DatagramCodecTest, EntriesThatDoNotFitAreLeftOut) {
+  const std::string Bytes =
+      encodeDatagram(ProbeAckMessage{1, sampleHeartbeat(8, 16, 60)});
+  EXPECT_LE(Bytes.size(), MaxDatagramBytes);
+  const auto Read = std::get<ProbeAckMessage>(decodeDatagram(Bytes));
+  EXPECT_EQ(Read.Content.Updates.size(), 8U);
+  EXPECT_LT(Read.Content.Drains.size(), 16U);
+  EXPECT_FALSE(Read.Content.Drains.empty());
+}
+
+TEST_F(DatagramCodecTest, TooLongNameIsNotEncoded) {
+  EXPECT_THROW(encodeDatagram(ProbeMessage{1, sampleHeartbeat(0, 0, 65)}),
+               PeerMessageError);
+}
+
+TEST_F(DatagramCodecTest, EveryTruncationAndAnyTrailingByteIsRefused) {
+  const std::string Bytes =
+      encodeDatagram(ProbeAckMessage{1, sampleHeartbeat(2, 2)});
+  for (std::size_t Length = 0; Length < Bytes.size(); ++Length)
+    EXPECT_TRUE(isRefused(Bytes.substr(0, Length))) << Length;
+  EXPECT_TRUE(isRefused(Bytes + 'x'));
+}
+
+TEST_F(DatagramCodecTest, OtherVersionIsRefused) {
+  std::string Bytes = encodeDatagram(ProbeMessage{1, sampleHeartbeat(0, 0)});
+  Bytes[1] = static_cast<char>(MessageVersion + 1);
+  EXPECT_TRUE(isRefused(Bytes));
+}
+
+TEST_F(DatagramCodecTest, DatagramOverTheLimitIsRefused) {
+  EXPECT_TRUE(isRefused(std::string(MaxDatagramBytes + 1, '\1')));
+}
+
+// A faulty peer must not be able to end this process.
+TEST_F(DatagramCodecTest, RandomBytesAreReadOrRefused) {
+  common::SeededRandom Random(20261204);
+  const std::string Valid =
+      encodeDatagram(ProbeAckMessage{1, sampleHeartbeat(4, 8)});
+  int Refused = 0;
+  for (int Input = 0; Input < RandomInputs; ++Input) {
+    std::string Bytes = Valid;
+    if (Input % 2 == 0)
+      Bytes.assign(Random.below(MaxDatagramBytes + 50), '\0');
+    const std::uint64_t Changes = Input % 2 == 0 ? Bytes.size() : 3;
+    for (std::uint64_t Change = 0; Change < Changes; ++Change) {
+      const std::size_t At =
+          Input % 2 == 0 ? Change : Random.below(Bytes.size());
+      Bytes[At] = static_cast<char>(Random.next());
+    }
+    Refused += isRefused(Bytes) ? 1 : 0;
+  }
+  EXPECT_GT(Refused, RandomInputs / 2);
+  EXPECT_LT(Refused, RandomInputs);
+}
+
+} // namespace acaciacross::peering
--- /dev/null
+++ b/Source/UnitTests/Peering/PeerSocketTest.cpp
@@ -0,0 +1,124 @@
+#include "Common/SystemClock.h"
+#include "Peering/MessageLimits.h"
+#include "Peering/ProbeSocket.h"
+#include "Peering/TransferClient.h"
+#include "Peering/TransferServer.h"
+#include "UnitTests/Peering/MessageSamples.h"
+
+#include <gtest/gtest.h>
+
+#include <ace/Dev_Poll_Reactor.h>
+#include <ace/INET_Addr.h>
+#include <ace/Reactor.h>
+#include <ace/SOCK_Connector.h>
+#include <functional>
+
+namespace acaciacross::peering {
+
+/// Two sockets, a server and a client on loopback and on one reactor.
+class PeerSocketTest : public testing::Test,
+                       public DatagramListener,
+                       public ConfigurationSource,
+                       public PullListener {
+protected:
+  void onProbe(const common::Address &From,
+               const ProbeMessage &Message) override {
+    this->Second.sendAck(From, Message.Sequence, sampleHeartbeat(1, 1));
+  }
+  void onAck(const common::Address &, const ProbeAckMessage &Message) override {
+    this->Acks.push_back(Message);
+  }
+  std::vector<configuration::ConfigurationChange>
+  changesFor(const ConfigurationPullMessage &Pull) override {
+    this->Pulls.push_back(Pull);
+    return {{"classes", common::Revision(4), std::string(900'000, 'c')}};
+  }
+  void onChanges(const common::Address &,
+                 const ConfigurationChangesMessage &Message) override {
+    this->Received.push_back(Message);
+  }
+  void onPullFailed(const common::Address &) override { ++this->Failures; }
+
+  /// Runs the reactor until the condition holds; false after ten seconds.
+  bool runUntil(const std::function<bool()> &Condition) {
+    const auto End = this->Time.monotonicNow() + std::chrono::seconds(10);
+    while (!Condition() && this->Time.monotonicNow() < End) {
+      ACE_Time_Value Wait(0, 10'000);
+      this->Events.handle_events(Wait);
+    }
+    return Condition();
+  }
+
+  common::Address serverAddress() const { return this->First.local(); }
+
+  common::SystemClock Time;
+  ACE_Reactor Events{new ACE_Dev_Poll_Reactor(), true};
+  std::vector<ProbeAckMessage> Acks;
+  std::vector<ConfigurationPullMessage> Pulls;
+  std::vector<ConfigurationChangesMessage> Received;
+  int Failures = 0;
+  ProbeSocket First{{"127.0.0.1", 0}, this->Events, *this, this->Time};
+  ProbeSocket Second{{"127.0.0.1", 0}, this->Events, *this, this->Time};
+  TransferServer Server{this->serverAddress(), this->Events, *this, this->Time};
+  TransferClient Client{this->Events, *this, this->Time};
+};
+
+TEST_F(PeerSocketTest, ProbeIsAcknowledgedWithItsSequenceNumber) {
+  this->First.sendProbe(this->Second.local(), 41, sampleHeartbeat(1, 1));
+  ASSERT_TRUE(this->runUntil([this] { return !this->Acks.empty(); }));
+  EXPECT_EQ(this->Acks[0].Sequence, 41U);
+}
+
+TEST_F(PeerSocketTest, MalformedAndOversizeDatagramsAreCountedAndDropped) {
+  ACE_SOCK_Dgram Sender(ACE_INET_Addr(static_cast<u_short>(0), "127.0.0.1"));
+  const ACE_INET_Addr To(this->First.local().Port, "127.0.0.1");
+  const std::string Oversize(MaxDatagramBytes + 1, '\1');
+  Sender.send("xyz", 3, To);
+  Sender.send(Oversize.data(), Oversize.size(), To);
+  Sender.send("", 0, To);
+  EXPECT_TRUE(this->runUntil([this] { return this->First.dropped() == 3; }));
+  Sender.close();
+}
+
+TEST_F(PeerSocketTest, PullBringsDocumentLargerThanTheSocketBuffer) {
+  ConfigurationPullMessage Pull;
+  Pull.Known["classes"] = common::Revision(3);
+  ASSERT_TRUE(this->Client.pull(this->serverAddress(), Pull));
+  EXPECT_FALSE(this->Client.pull(this->serverAddress(), Pull));
+  ASSERT_TRUE(this->runUntil([this] { return !this->Received.empty(); }));
+  EXPECT_EQ(this->Pulls[0], Pull);
+  EXPECT_EQ(this->Received[0].Changes[0].Text.size(), 900'000U);
+  EXPECT_EQ(this->Failures, 0);
+  EXPECT_TRUE(this->Client.pull(this->serverAddress(), Pull));
+}
+
+TEST_F(PeerSocketTest, PullFromClosedPortFailsWithoutWaiting) {
+  const common::Address Closed = this->Second.local();
+  const bool Started = this->Client.pull(Closed, {});
+  EXPECT_TRUE(!Started ||
+              this->runUntil([this] { return this->Failures == 1; }));
+}
+
+// A peer that connects and says nothing must not hold a connection for ever,
+// and one that announces a huge frame must not fill the memory.
+TEST_F(PeerSocketTest, SilentAndOversizeConnectionsAreClosed) {
+  const ACE_INET_Addr To(this->serverAddress().Port, "127.0.0.1");
+  for (const bool IsSilent : {true, false}) {
+    ACE_SOCK_Stream Connection;
+    ASSERT_EQ(ACE_SOCK_Connector().connect(Connection, To), 0);
+    if (!IsSilent)
+      Connection.send("\x7F\xFF\xFF\xFF", 4);
+    Connection.enable(ACE_NONBLOCK);
+    const auto Start = this->Time.monotonicNow();
+    EXPECT_TRUE(this->runUntil([&Connection] {
+      char Byte = 0;
+      return Connection.recv(&Byte, 1) == 0;
+    }));
+    const auto Elapsed = this->Time.monotonicNow() - Start;
+    EXPECT_EQ(Elapsed >= TransferLimit, IsSilent);
+    Connection.close();
+  }
+  EXPECT_TRUE(this->Pulls.empty());
+}
+
+} // namespace acaciacross::peering
--- /dev/null
+++ b/Source/UnitTests/Peering/TransferCodecTest.cpp
@@ -0,0 +1,73 @@
+#include "Peering/TransferCodec.h"
+
+#include "Common/SeededRandom.h"
+#include "Peering/MessageLimits.h"
+#include "Peering/PeerMessageError.h"
+
+#include <gtest/gtest.h>
+
+namespace acaciacross::peering {
+
+using configuration::ConfigurationChange;
+
+class TransferCodecTest : public testing::Test {};
+
+TEST_F(TransferCodecTest, PullComesBackWhole) {
+  ConfigurationPullMessage Sent;
+  Sent.Known["classes"] = common::Revision(3);
+  Sent.Known["service/crew-dispatch"] = common::Revision(9);
+  EXPECT_EQ(decodePull(encodePull(Sent)), Sent);
+}
+
+TEST_F(TransferCodecTest, ChangesComeBackWhole) {
+  const auto Read = decodeChanges(
+      encodeChanges({{"classes", common::Revision(3), "[budget]\n"}}));
+  ASSERT_EQ(Read.Changes.size(), 1U);
+  EXPECT_EQ(Read.Changes[0].Key, "classes");
+  EXPECT_EQ(Read.Changes[0].Number, common::Revision(3));
+  EXPECT_EQ(Read.Changes[0].Text, "[budget]\n");
+  EXPECT_FALSE(Read.HasMore);
+}
+
+// A VM that is far behind gets the set in several bounded transfers.
+TEST_F(TransferCodecTest, ChangesOverTheLimitAreCutAndMarked) {
+  const std::string Text(MaxDocumentBytes, 't');
+  std::vector<ConfigurationChange> Changes;
+  for (std::uint64_t Number = 1; Number <= 5; ++Number)
+    Changes.push_back(
+        {"service/" + std::to_string(Number), common::Revision(Number), Text});
+  const std::string Bytes = encodeChanges(Changes);
+  EXPECT_LE(Bytes.size(), MaxChangesBytes);
+  const auto Read = decodeChanges(Bytes);
+  EXPECT_EQ(Read.Changes.size(), 3U);
+  EXPECT_TRUE(Read.HasMore);
+}
+
+TEST_F(TransferCodecTest, DocumentOverTheLimitIsNotEncoded) {
+  EXPECT_THROW(encodeChanges({{"classes", common::Revision(1),
+                               std::string(MaxDocumentBytes + 1, 't')}}),
+               PeerMessageError);
+}
+
+// The stated length of a text must not lead to an allocation of that size.
+TEST_F(TransferCodecTest, RandomBytesAreReadOrRefused) {
+  common::SeededRandom Random(20261204);
+  const std::string Valid = encodeChanges(
+      {{"classes", common::Revision(3), "text"},
+       {"service/crew-dispatch", common::Revision(9), "more text"}});
+  int Refused = 0;
+  for (int Input = 0; Input < 10000; ++Input) {
+    std::string Bytes = Valid;
+    for (int Change = 0; Change < 3; ++Change)
+      Bytes[Random.below(Bytes.size())] = static_cast<char>(Random.next());
+    try {
+      decodeChanges(Bytes);
+      decodePull(Bytes);
+    } catch (const PeerMessageError &) {
+      ++Refused;
+    }
+  }
+  EXPECT_EQ(Refused, 10000);
+}
+
+} // namespace acaciacross::peering
