Traffic: send attempts through libcurl without silent repeats

Cause: libcurl 7.88.1 sends a POST again when a reused connection ends after the request and before the first byte of the reply, so a booking could run twice.

Change: CurlAttemptPort sends each attempt with a body from a read callback without a seek callback, and a CURLOPT_PREREQFUNCTION that lets one request of a transfer pass. The same callback checks the deadline right before sending and tells what was provably not sent.

Ruled out, by trials on a scratch copy with the two tests of a server that reads the second request on a connection and closes it: - plain CURLOPT_POSTFIELDS: the server has the attempt twice and the caller an Answered (3 requests in place of 2), with a body and without; - read callback alone: once with a body, but twice with an empty body, which needs no rewinding; - CURLOPT_FRESH_CONNECT: once, but each attempt pays for a new connection (1 to 6 ms at the upstreams) and counts against the caps.

Conclusion: with both callbacks the server has the attempt once and its status is Lost. The price is that an attempt on a connection that the peer closes in that moment is Lost, and is replaced from the extra-load budget if its class may repeat.

--- /dev/null
+++ b/Source/Traffic/CurlAttemptPort.cpp
@@ -0,0 +1,95 @@
+#include "Traffic/CurlAttemptPort.h"
+
+#include "Common/Error.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace acaciacross::traffic {
+
+CurlAttemptPort::CurlAttemptPort(const common::Clock &Time)
+    : Ticker(Time), Multi(::curl_multi_init()) {
+  if (!this->Multi)
+    throw common::Error(common::ResultCode::InternalError,
+                        "curl_multi_init failed");
+  ::curl_multi_setopt(this->Multi, CURLMOPT_PIPELINING,
+                      static_cast<long>(CURLPIPE_NOTHING));
+}
+
+CurlAttemptPort::~CurlAttemptPort() {
+  for (const auto &[Id, Transfer] : this->Transfers)
+    ::curl_multi_remove_handle(this->Multi, Transfer->handle());
+  this->Transfers.clear();
+  ::curl_multi_cleanup(this->Multi);
+}
+
+// Without CURLMOPT_MAXCONNECTS libcurl keeps four connections per running
+// transfer and would close idle ones that the next query needs.
+void CurlAttemptPort::setConnectionLimits(std::uint32_t PerSearcher,
+                                          std::uint32_t Kept) {
+  ::curl_multi_setopt(this->Multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                      static_cast<long>(std::max(PerSearcher, 1U)));
+  ::curl_multi_setopt(this->Multi, CURLMOPT_MAXCONNECTS,
+                      static_cast<long>(std::max(Kept, 1U)));
+}
+
+void CurlAttemptPort::start(const query::AttemptSpec &Spec) {
+  auto Transfer = std::make_unique<CurlTransfer>(Spec, this->Ticker);
+  const bool IsAdded =
+      Transfer->handle() &&
+      ::curl_multi_add_handle(this->Multi, Transfer->handle()) == CURLM_OK;
+  if (!IsAdded) {
+    this->EndedAtStart.push_back(Transfer->end(CURLE_FAILED_INIT));
+    return;
+  }
+  this->Transfers.emplace(Spec.Id, std::move(Transfer));
+}
+
+void CurlAttemptPort::cancel(const common::AttemptId &Id) {
+  std::erase_if(this->EndedAtStart, [&](const EndedAttempt &Ended) {
+    return Ended.Result.Attempt == Id;
+  });
+  const auto Found = this->Transfers.find(Id);
+  if (Found == this->Transfers.end())
+    return;
+  ::curl_multi_remove_handle(this->Multi, Found->second->handle());
+  this->Transfers.erase(Found);
+}
+
+std::vector<EndedAttempt> CurlAttemptPort::perform() {
+  int Running = 0;
+  ::curl_multi_perform(this->Multi, &Running);
+  std::vector<EndedAttempt> Ended = std::exchange(this->EndedAtStart, {});
+  this->collectEnded(Ended);
+  return Ended;
+}
+
+void CurlAttemptPort::collectEnded(std::vector<EndedAttempt> &Ended) {
+  int Left = 0;
+  while (const CURLMsg *Message = ::curl_multi_info_read(this->Multi, &Left)) {
+    if (Message->msg != CURLMSG_DONE)
+      continue;
+    // Removing the handle frees the message.
+    const CURLcode Code = Message->data.result;
+    CURL *Easy = Message->easy_handle;
+    char *Private = nullptr;
+    ::curl_easy_getinfo(Easy, CURLINFO_PRIVATE, &Private);
+    const auto *Transfer =
+        static_cast<const CurlTransfer *>(static_cast<void *>(Private));
+    Ended.push_back(Transfer->end(Code));
+    ::curl_multi_remove_handle(this->Multi, Easy);
+    this->Transfers.erase(Ended.back().Result.Attempt);
+  }
+}
+
+void CurlAttemptPort::wait(std::chrono::milliseconds Limit) {
+  if (!this->EndedAtStart.empty())
+    Limit = std::chrono::milliseconds::zero();
+  ::curl_multi_poll(this->Multi, nullptr, 0, static_cast<int>(Limit.count()),
+                    nullptr);
+}
+
+void CurlAttemptPort::wake() { ::curl_multi_wakeup(this->Multi); }
+
+} // namespace acaciacross::traffic
--- /dev/null
+++ b/Source/Traffic/CurlTransfer.cpp
@@ -0,0 +1,168 @@
+#include "Traffic/CurlTransfer.h"
+
+#include "Traffic/UpstreamCodec.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstring>
+#include <optional>
+#include <string_view>
+
+#include <strings.h>
+
+namespace acaciacross::traffic {
+
+namespace {
+
+constexpr std::size_t MaxReplyBytes = std::size_t{4} << 20;
+constexpr std::size_t MaxHeaderBytes = std::size_t{64} << 10;
+
+// A new connection takes 1 to 6 ms plus some 8 ms between zones. The kernel
+// repeats a lost SYN only after a second, too late for a target of 80 ms.
+constexpr long ConnectTimeoutMs = 250;
+
+constexpr std::string_view DrainHeader = "x-draining:";
+
+bool isDrainHeader(std::string_view Line) {
+  if (Line.size() < DrainHeader.size() ||
+      ::strncasecmp(Line.data(), DrainHeader.data(), DrainHeader.size()) != 0)
+    return false;
+  Line.remove_prefix(DrainHeader.size());
+  const std::size_t First = Line.find_first_not_of(" \t");
+  if (First == std::string_view::npos || Line[First] != '1')
+    return false;
+  return Line.find_first_not_of(" \t\r\n", First + 1) == std::string_view::npos;
+}
+
+} // namespace
+
+CurlTransfer::CurlTransfer(const query::AttemptSpec &Attempt,
+                           const common::Clock &Time)
+    : Spec(Attempt), Ticker(Time), StartedAt(Time.monotonicNow()) {
+  const auto Lines = encodeAttemptHeaders(this->Spec);
+  if (!Lines)
+    return;
+  for (const std::string &Line : *Lines)
+    this->Headers = ::curl_slist_append(this->Headers, Line.c_str());
+  this->Easy = ::curl_easy_init();
+  if (this->Easy)
+    this->configure();
+}
+
+CurlTransfer::~CurlTransfer() {
+  ::curl_easy_cleanup(this->Easy);
+  ::curl_slist_free_all(this->Headers);
+}
+
+void CurlTransfer::configure() {
+  const auto Set = [this](CURLoption Option, auto Value) {
+    ::curl_easy_setopt(this->Easy, Option, Value);
+  };
+  const std::string Url =
+      "http://" + this->Spec.Endpoint.toString() + "/search";
+  Set(CURLOPT_URL, Url.c_str());
+  Set(CURLOPT_PRIVATE, this);
+  Set(CURLOPT_NOSIGNAL, 1L);
+  Set(CURLOPT_NOPROXY, "*");
+  Set(CURLOPT_PROTOCOLS_STR, "http");
+  Set(CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+  Set(CURLOPT_TCP_NODELAY, 1L);
+  Set(CURLOPT_CONNECTTIMEOUT_MS, ConnectTimeoutMs);
+  Set(CURLOPT_HTTPHEADER, this->Headers);
+
+  // Without a seek callback libcurl cannot rewind the body and send it again
+  // when a reused connection breaks. An empty body needs no rewinding; for it
+  // beforeRequest refuses the second request.
+  Set(CURLOPT_POST, 1L);
+  Set(CURLOPT_POSTFIELDSIZE_LARGE,
+      static_cast<curl_off_t>(this->Spec.Body.size()));
+  Set(CURLOPT_READFUNCTION, &CurlTransfer::readBody);
+  Set(CURLOPT_READDATA, this);
+  Set(CURLOPT_PREREQFUNCTION, &CurlTransfer::beforeRequest);
+  Set(CURLOPT_PREREQDATA, this);
+
+  Set(CURLOPT_WRITEFUNCTION, &CurlTransfer::writeReply);
+  Set(CURLOPT_WRITEDATA, this);
+  Set(CURLOPT_HEADERFUNCTION, &CurlTransfer::readHeader);
+  Set(CURLOPT_HEADERDATA, this);
+}
+
+CURL *CurlTransfer::handle() const { return this->Easy; }
+
+const query::AttemptSpec &CurlTransfer::spec() const { return this->Spec; }
+
+EndedAttempt CurlTransfer::end(CURLcode Code) const {
+  EndedAttempt Ended;
+  Ended.Searcher = this->Spec.Searcher;
+  Ended.Result.Attempt = this->Spec.Id;
+  Ended.Result.Status = this->statusOf(Code);
+  Ended.Result.Elapsed = this->Ticker.monotonicNow() - this->StartedAt;
+  Ended.Result.Draining = this->Draining;
+  if (Ended.Result.Status != query::AttemptStatus::Answered)
+    return Ended;
+  Ended.Result.Reply = decodeShardReply(this->Reply);
+  if (!Ended.Result.Reply)
+    Ended.Result.Status = query::AttemptStatus::Lost;
+  return Ended;
+}
+
+query::AttemptStatus CurlTransfer::statusOf(CURLcode Code) const {
+  if (!this->IsRequestReleased)
+    return this->IsDeadlineMissed ? query::AttemptStatus::ExpiredBeforeStart
+                                  : query::AttemptStatus::NotSent;
+  if (Code != CURLE_OK)
+    return query::AttemptStatus::Lost;
+  long HttpCode = 0;
+  ::curl_easy_getinfo(this->Easy, CURLINFO_RESPONSE_CODE, &HttpCode);
+  return HttpCode == 200 ? query::AttemptStatus::Answered
+                         : statusOfHttpCode(HttpCode);
+}
+
+std::size_t CurlTransfer::readBody(char *Buffer, std::size_t Size,
+                                   std::size_t Count, void *Self) {
+  auto &Transfer = *static_cast<CurlTransfer *>(Self);
+  const std::size_t Left = Transfer.Spec.Body.size() - Transfer.BodyOffset;
+  const std::size_t Length = std::min(Size * Count, Left);
+  std::memcpy(Buffer, Transfer.Spec.Body.data() + Transfer.BodyOffset, Length);
+  Transfer.BodyOffset += Length;
+  return Length;
+}
+
+std::size_t CurlTransfer::writeReply(char *Bytes, std::size_t Size,
+                                     std::size_t Count, void *Self) {
+  auto &Transfer = *static_cast<CurlTransfer *>(Self);
+  const std::size_t Length = Size * Count;
+  if (Transfer.Reply.size() + Length > MaxReplyBytes)
+    return 0;
+  Transfer.Reply.append(Bytes, Length);
+  return Length;
+}
+
+std::size_t CurlTransfer::readHeader(char *Bytes, std::size_t Size,
+                                     std::size_t Count, void *Self) {
+  auto &Transfer = *static_cast<CurlTransfer *>(Self);
+  const std::size_t Length = Size * Count;
+  Transfer.HeaderBytes += Length;
+  if (Transfer.HeaderBytes > MaxHeaderBytes)
+    return 0;
+  if (isDrainHeader({Bytes, Length}))
+    Transfer.Draining = true;
+  return Length;
+}
+
+// libcurl calls this when it has a connection and before it sends anything,
+// also before it repeats a request by itself. A transfer may have waited for a
+// connection, so the deadline is checked here.
+int CurlTransfer::beforeRequest(void *Self, char *, char *, int, int) {
+  auto &Transfer = *static_cast<CurlTransfer *>(Self);
+  if (Transfer.IsRequestReleased)
+    return CURL_PREREQFUNC_ABORT;
+  if (Transfer.Ticker.monotonicNow() >= Transfer.Spec.Deadline) {
+    Transfer.IsDeadlineMissed = true;
+    return CURL_PREREQFUNC_ABORT;
+  }
+  Transfer.IsRequestReleased = true;
+  return CURL_PREREQFUNC_OK;
+}
+
+} // namespace acaciacross::traffic
--- /dev/null
+++ b/Source/UnitTests/Traffic/CurlAttemptPortTest.cpp
@@ -0,0 +1,171 @@
+#include "Traffic/CurlAttemptPort.h"
+
+#include "Common/SystemClock.h"
+#include "RawUpstream.h"
+
+#include <gtest/gtest.h>
+
+namespace acaciacross::traffic {
+
+using query::AttemptStatus;
+using std::chrono::milliseconds;
+
+class CurlAttemptPortTest : public testing::Test {
+protected:
+  query::AttemptSpec makeSpec(const common::Address &Endpoint) {
+    query::AttemptSpec Spec;
+    Spec.Id = {common::Incarnation(7), this->Sequence++};
+    Spec.Endpoint = Endpoint;
+    Spec.Request = common::RequestId("r");
+    Spec.Class = common::ClassName("c");
+    Spec.Snapshot = common::SnapshotId("s");
+    Spec.Shard = common::ShardId(3);
+    Spec.Deadline = this->Time.monotonicNow() + milliseconds(5000);
+    Spec.WallDeadline = this->Time.wallNow() + milliseconds(5000);
+    Spec.Body = "body";
+    return Spec;
+  }
+
+  query::AttemptResult run(const query::AttemptSpec &Spec) {
+    this->Port.start(Spec);
+    std::vector<EndedAttempt> Ended = this->Port.perform();
+    while (Ended.empty()) {
+      this->Port.wait(milliseconds(1000));
+      Ended = this->Port.perform();
+    }
+    EXPECT_EQ(Ended.size(), 1U);
+    EXPECT_EQ(Ended[0].Result.Attempt, Spec.Id);
+    return Ended[0].Result;
+  }
+
+  static std::string makeResponse(const std::string &Status,
+                                  const std::string &Body,
+                                  const std::string &Extra = "") {
+    return "HTTP/1.1 " + Status + "\r\n" + Extra +
+           "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+  }
+
+  static std::string makeAnswer(std::uint64_t Sequence) {
+    const common::AttemptId Id{common::Incarnation(7), Sequence};
+    return makeResponse("200 OK",
+                        R"({"attempt_id":")" + Id.toString() +
+                            R"(","snapshot":"s","shard":3,"range_begin":0,)" +
+                            R"("range_end":9,"body":"found"})");
+  }
+
+  /// The second request on the connection is read and the connection closed.
+  static RawUpstream::Answer closeOnSecond() {
+    return [](std::size_t Number, const std::string &) {
+      return Number == 1 ? std::string() : makeAnswer(Number);
+    };
+  }
+
+  common::SystemClock Time;
+  CurlAttemptPort Port{Time};
+  std::uint64_t Sequence = 0;
+};
+
+// libcurl sends a request again when a reused connection ends without an
+// answer, which would run a booking twice.
+TEST_F(CurlAttemptPortTest, ReusedConnectionClosedAfterRequestIsLostAndOnce) {
+  RawUpstream Upstream(closeOnSecond());
+  EXPECT_EQ(this->run(this->makeSpec(Upstream.endpoint())).Status,
+            AttemptStatus::Answered);
+  EXPECT_EQ(this->run(this->makeSpec(Upstream.endpoint())).Status,
+            AttemptStatus::Lost);
+  EXPECT_EQ(Upstream.requests().size(), 2U);
+}
+
+// An empty body needs no rewinding, so the read callback alone does not keep
+// libcurl from sending the request again.
+TEST_F(CurlAttemptPortTest, ReusedConnectionClosedWithEmptyBodyIsLostAndOnce) {
+  RawUpstream Upstream(closeOnSecond());
+  this->run(this->makeSpec(Upstream.endpoint()));
+  query::AttemptSpec Spec = this->makeSpec(Upstream.endpoint());
+  Spec.Body.clear();
+  EXPECT_EQ(this->run(Spec).Status, AttemptStatus::Lost);
+  EXPECT_EQ(Upstream.requests().size(), 2U);
+}
+
+TEST_F(CurlAttemptPortTest, AnswerCarriesEveryFieldOfTheReply) {
+  RawUpstream Upstream(closeOnSecond());
+  const auto Result = this->run(this->makeSpec(Upstream.endpoint()));
+  ASSERT_TRUE(Result.Reply);
+  EXPECT_EQ(Result.Reply->Attempt, Result.Attempt);
+  EXPECT_EQ(Result.Reply->Shard, common::ShardId(3));
+  EXPECT_EQ(Result.Reply->Range, (common::KeyRange{0, 9}));
+  EXPECT_EQ(Result.Reply->Body, "found");
+  EXPECT_NE(Upstream.requests()[0].find("X-Attempt-Id: 0000000000000007-0\r\n"),
+            std::string::npos);
+}
+
+TEST_F(CurlAttemptPortTest, RefusedConnectionIsNotSent) {
+  common::Address Unused;
+  {
+    RawUpstream Upstream(closeOnSecond());
+    Unused = Upstream.endpoint();
+  }
+  EXPECT_EQ(this->run(this->makeSpec(Unused)).Status, AttemptStatus::NotSent);
+}
+
+// A pause between the decision and the sending must not send expired work.
+TEST_F(CurlAttemptPortTest, DeadlinePassedBeforeSendingSendsNothing) {
+  RawUpstream Upstream(closeOnSecond());
+  query::AttemptSpec Spec = this->makeSpec(Upstream.endpoint());
+  Spec.Deadline = this->Time.monotonicNow();
+  EXPECT_EQ(this->run(Spec).Status, AttemptStatus::ExpiredBeforeStart);
+  EXPECT_TRUE(Upstream.requests().empty());
+}
+
+TEST_F(CurlAttemptPortTest, ErrorResponsesGiveTheirStatus) {
+  const std::vector<std::pair<std::string, AttemptStatus>> Cases = {
+      {"503 Shed", AttemptStatus::Shed},
+      {"410 Gone", AttemptStatus::SnapshotGone},
+      {"409 Conflict", AttemptStatus::ShardGone},
+      {"504 Late", AttemptStatus::ExpiredBeforeStart},
+      {"500 Fault", AttemptStatus::Lost},
+      {"200 Not JSON", AttemptStatus::Lost}};
+  RawUpstream Upstream([&](std::size_t Number, const std::string &) {
+    return makeResponse(Cases[Number].first, "{");
+  });
+  for (const auto &[Line, Status] : Cases)
+    EXPECT_EQ(this->run(this->makeSpec(Upstream.endpoint())).Status, Status)
+        << Line;
+}
+
+TEST_F(CurlAttemptPortTest, DrainHeaderOfAnyResponseIsReported) {
+  RawUpstream Upstream([](std::size_t, const std::string &) {
+    return makeResponse("503 Shed", "", "X-Draining: 1\r\n");
+  });
+  EXPECT_TRUE(this->run(this->makeSpec(Upstream.endpoint())).Draining);
+}
+
+// A reply without end must not take the memory of the VM.
+TEST_F(CurlAttemptPortTest, ReplyAboveTheBoundIsLost) {
+  RawUpstream Upstream([](std::size_t, const std::string &) {
+    return makeResponse("200 OK", std::string(std::size_t{5} << 20, ' '));
+  });
+  EXPECT_EQ(this->run(this->makeSpec(Upstream.endpoint())).Status,
+            AttemptStatus::Lost);
+}
+
+// Searchers stop work whose connection is closed; a kept connection could also
+// deliver the late reply to the next attempt.
+TEST_F(CurlAttemptPortTest, CancelClosesTheConnection) {
+  RawUpstream Upstream([](std::size_t, const std::string &) {
+    return std::string("HTTP/1.1 200 OK\r\n");
+  });
+  const query::AttemptSpec Spec = this->makeSpec(Upstream.endpoint());
+  this->Port.start(Spec);
+  while (Upstream.requests().empty()) {
+    this->Port.perform();
+    this->Port.wait(milliseconds(10));
+  }
+  this->Port.cancel(Spec.Id);
+  for (int I = 0; I < 500 && Upstream.closedByPeer() == 0; ++I)
+    this->Port.wait(milliseconds(10));
+  EXPECT_EQ(Upstream.closedByPeer(), 1U);
+  EXPECT_TRUE(this->Port.perform().empty());
+}
+
+} // namespace acaciacross::traffic
