--- /dev/null
+++ b/Source/Tickets/TicketLookup.h
@@ -0,0 +1,20 @@
+#ifndef ACACIACROSS_TICKETS_TICKETLOOKUP_H
+#define ACACIACROSS_TICKETS_TICKETLOOKUP_H
+
+#include "Query/Outcome.h"
+#include "Tickets/TicketState.h"
+
+#include <memory>
+
+namespace acaciacross::tickets {
+
+/// Answer of the table about a presented ticket.
+struct TicketLookup {
+  TicketState State = TicketState::Altered;
+  /// Set when State is Finished.
+  std::shared_ptr<const query::Outcome> Stored;
+};
+
+} // namespace acaciacross::tickets
+
+#endif
