--- a/Source/UnitTests/Traffic/RawUpstream.cpp
+++ b/Source/UnitTests/Traffic/RawUpstream.cpp
@@ -33,7 +33,9 @@
   sockaddr_in Local{};
   Local.sin_family = AF_INET;
   Local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  ::bind(this->Listener, reinterpret_cast<sockaddr *>(&Local), sizeof(Local));
+  if (::bind(this->Listener, reinterpret_cast<sockaddr *>(&Local),
+             sizeof(Local)) != 0)
+    std::abort();
   ::listen(this->Listener, 16);
   if (::pipe(this->Stop) != 0)
     std::abort();
