Traffic: one thread per service runs its requests

ServiceEngine holds admission, tickets, running queries and metrics and knows neither thread nor HTTP; TrafficWorker drives it from curl_multi_poll with the next timer.

Cancelled attempts are reported as evidence, since a searcher that hangs shows itself by nothing else. A ticket runs once even if its class becomes repeatable after the issue.

--- /dev/null
+++ b/Source/Traffic/RunningQuery.h
@@ -0,0 +1,24 @@
+#ifndef ACACIACROSS_TRAFFIC_RUNNINGQUERY_H
+#define ACACIACROSS_TRAFFIC_RUNNINGQUERY_H
+
+#include "Query/QueryExecution.h"
+#include "Traffic/ClassState.h"
+#include "Traffic/ReplySink.h"
+#include "Traffic/TrafficRequest.h"
+
+#include <memory>
+
+namespace acaciacross::traffic {
+
+/// A query that a traffic thread runs.
+struct RunningQuery {
+  TrafficRequest Request;
+  std::shared_ptr<ReplySink> Sink;
+  ClassState *Class = nullptr;
+  std::unique_ptr<query::QueryExecution> Execution;
+  common::MonotonicTime TimerAt;
+};
+
+} // namespace acaciacross::traffic
+
+#endif
--- /dev/null
+++ b/Source/Traffic/ServiceEngine.h
@@ -0,0 +1,86 @@
+#ifndef ACACIACROSS_TRAFFIC_SERVICEENGINE_H
+#define ACACIACROSS_TRAFFIC_SERVICEENGINE_H
+
+#include "Common/Clock.h"
+#include "Common/SeededRandom.h"
+#include "Control/ControlView.h"
+#include "Control/UpstreamEvidence.h"
+#include "Metrics/ClassReport.h"
+#include "Query/AttemptIdSource.h"
+#include "Routing/PowerOfTwoSelector.h"
+#include "Tickets/TicketTable.h"
+#include "Traffic/AttemptRegistry.h"
+#include "Traffic/EngineSettings.h"
+#include "Traffic/RunningQuery.h"
+#include "Traffic/TicketReply.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace acaciacross::traffic {
+
+/// All requests of one service: admission, tickets, running queries and
+/// metrics. Belongs to one traffic thread and knows neither it nor HTTP.
+class ServiceEngine {
+public:
+  ServiceEngine(EngineSettings Chosen, query::AttemptPort &Sender,
+                const common::Clock &Time);
+
+  void updateView(const control::ControlView &View);
+
+  void accept(TrafficRequest Request, std::shared_ptr<ReplySink> Sink);
+  TicketReply issueTicket(const common::ClassName &Class);
+
+  void onAttemptsEnded(const std::vector<EndedAttempt> &Batch);
+  void onTimers();
+  /// Empty when nothing is due.
+  std::optional<common::MonotonicTime> nextTimer() const;
+
+  /// Ends all running queries with what they have.
+  void abortAll();
+  std::size_t runningCount() const;
+
+  std::vector<control::UpstreamEvidence> takeEvidence();
+  std::vector<metrics::ClassReport> reports() const;
+
+private:
+  void updateClasses(const control::ControlView &View);
+  ClassState *findClass(const common::ClassName &Name);
+
+  /// True when the request may run; else it has been answered.
+  bool presentTicket(const TrafficRequest &Request, ReplySink &Sink);
+  std::optional<common::ResultCode> refusalOf(const TrafficRequest &Request);
+  query::QueryRequest makeQuery(const TrafficRequest &Request,
+                                const ClassState &Class) const;
+  void run(TrafficRequest Request, std::shared_ptr<ReplySink> Sink,
+           ClassState &Class);
+  void refuse(const TrafficRequest &Request, ReplySink &Sink,
+              common::ResultCode Code);
+  /// After each call into an execution: answers it when it has finished, else
+  /// sets its timer.
+  void settle(std::uint64_t Number);
+
+  EngineSettings Settings;
+  const common::Clock &Ticker;
+  common::SeededRandom Random;
+  AttemptRegistry Attempts;
+  routing::PowerOfTwoSelector Selector;
+  query::AttemptIdSource Ids;
+  tickets::TicketIssuer Issuer;
+  tickets::TicketTable Table;
+
+  std::shared_ptr<const query::ServiceView> Service;
+  std::map<common::ClassName, std::unique_ptr<ClassState>> Classes;
+  std::unordered_map<std::uint64_t, RunningQuery> Queries;
+  std::set<std::pair<common::MonotonicTime, std::uint64_t>> Timers;
+  std::uint64_t NextQuery = 0;
+};
+
+} // namespace acaciacross::traffic
+
+#endif
--- /dev/null
+++ b/Source/Traffic/TrafficRequest.h
@@ -0,0 +1,26 @@
+#ifndef ACACIACROSS_TRAFFIC_TRAFFICREQUEST_H
+#define ACACIACROSS_TRAFFIC_TRAFFICREQUEST_H
+
+#include "Common/Identifiers.h"
+#include "Common/Time.h"
+#include "Tickets/Ticket.h"
+
+#include <optional>
+#include <string>
+
+namespace acaciacross::traffic {
+
+/// A caller's request after decoding.
+struct TrafficRequest {
+  common::RequestId Id;
+  common::ClassName Class;
+  std::string Body;
+  std::optional<tickets::Ticket> Ticket;
+
+  common::MonotonicTime ReceivedAt;
+  common::MonotonicTime Deadline;
+};
+
+} // namespace acaciacross::traffic
+
+#endif
--- /dev/null
+++ b/Source/Traffic/TrafficWorker.cpp
@@ -0,0 +1,101 @@
+#include "Traffic/TrafficWorker.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace acaciacross::traffic {
+
+namespace {
+
+// Nothing depends on this wait ending early: posts and sockets wake the thread.
+constexpr std::chrono::milliseconds LongestWait{1000};
+
+} // namespace
+
+TrafficWorker::TrafficWorker(EngineSettings Chosen, const common::Clock &Time,
+                             control::EvidenceSink &Evidence)
+    : Ticker(Time), Name(Chosen.Service), Sink(Evidence), Port(Time),
+      Engine(std::move(Chosen), this->Port, Time),
+      Tasks([this] { this->Port.wake(); }), Thread([this] { this->run(); }) {}
+
+TrafficWorker::~TrafficWorker() {
+  this->beginStop(std::chrono::milliseconds::zero());
+  this->join();
+}
+
+void TrafficWorker::post(Task Work) { this->Tasks.post(std::move(Work)); }
+
+void TrafficWorker::updateView(
+    std::shared_ptr<const control::ControlView> View) {
+  this->post([this, Newest = std::move(View)](ServiceEngine &Each) {
+    this->applyLimits(*Newest);
+    Each.updateView(*Newest);
+  });
+}
+
+// libcurl has one limit for all hosts of a handle, so the smallest quota of the
+// service rules. A quota of 0 is never used, as such searchers are not
+// selected.
+void TrafficWorker::applyLimits(const control::ControlView &View) {
+  const auto Service = View.Services.find(this->Name);
+  if (Service == View.Services.end())
+    return;
+  std::uint32_t Smallest = std::numeric_limits<std::uint32_t>::max();
+  std::uint32_t Total = 0;
+  for (const query::SearcherView &Searcher : Service->second->Searchers) {
+    if (Searcher.ConnectionQuota == 0)
+      continue;
+    Smallest = std::min(Smallest, Searcher.ConnectionQuota);
+    Total += Searcher.ConnectionQuota;
+  }
+  if (Total > 0)
+    this->Port.setConnectionLimits(Smallest, Total);
+}
+
+void TrafficWorker::beginStop(std::chrono::milliseconds Grace) {
+  this->post([this, Grace](ServiceEngine &) {
+    const common::MonotonicTime Limit = this->Ticker.monotonicNow() + Grace;
+    this->StopAt = this->IsStopping ? std::min(this->StopAt, Limit) : Limit;
+    this->IsStopping = true;
+  });
+}
+
+void TrafficWorker::join() {
+  if (this->Thread.joinable())
+    this->Thread.join();
+}
+
+void TrafficWorker::run() {
+  while (true) {
+    for (const Task &Work : this->Tasks.drain())
+      Work(this->Engine);
+    this->Engine.onAttemptsEnded(this->Port.perform());
+    this->Engine.onTimers();
+    if (auto Evidence = this->Engine.takeEvidence(); !Evidence.empty())
+      this->Sink.report(std::move(Evidence));
+    if (this->isOver())
+      break;
+    this->Port.wait(this->untilNextEvent());
+  }
+  this->Engine.abortAll();
+}
+
+bool TrafficWorker::isOver() const {
+  return this->IsStopping && (this->Engine.runningCount() == 0 ||
+                              this->Ticker.monotonicNow() >= this->StopAt);
+}
+
+std::chrono::milliseconds TrafficWorker::untilNextEvent() const {
+  common::MonotonicTime Next = this->Ticker.monotonicNow() + LongestWait;
+  if (const auto Timer = this->Engine.nextTimer())
+    Next = std::min(Next, *Timer);
+  if (this->IsStopping)
+    Next = std::min(Next, this->StopAt);
+  // Rounded up: a wait that ends before the timer would be repeated at once.
+  const auto Left = std::chrono::ceil<std::chrono::milliseconds>(
+      Next - this->Ticker.monotonicNow());
+  return std::max(Left, std::chrono::milliseconds::zero());
+}
+
+} // namespace acaciacross::traffic
--- /dev/null
+++ b/Source/UnitTests/Traffic/ReplyRecord.h
@@ -0,0 +1,48 @@
+#ifndef ACACIACROSS_UNITTESTS_TRAFFIC_REPLYRECORD_H
+#define ACACIACROSS_UNITTESTS_TRAFFIC_REPLYRECORD_H
+
+#include "Traffic/ReplySink.h"
+
+#include <condition_variable>
+#include <mutex>
+#include <vector>
+
+namespace acaciacross::traffic {
+
+/// Keeps the replies that it was given.
+class ReplyRecord final : public ReplySink {
+public:
+  void onReply(TrafficReply Reply) override {
+    const std::lock_guard Guard(this->Mutex);
+    this->Replies.push_back(std::move(Reply));
+    this->Arrived.notify_all();
+  }
+
+  std::size_t count() const {
+    const std::lock_guard Guard(this->Mutex);
+    return this->Replies.size();
+  }
+
+  /// Waits for the first reply.
+  TrafficReply first() const {
+    std::unique_lock Guard(this->Mutex);
+    this->Arrived.wait(Guard, [this] { return !this->Replies.empty(); });
+    return this->Replies.front();
+  }
+
+  common::ResultCode refusal() const {
+    return std::get<query::Refusal>(*this->first().Result).Code;
+  }
+  common::ResultCode failure() const {
+    return std::get<query::Failure>(*this->first().Result).Code;
+  }
+
+private:
+  mutable std::mutex Mutex;
+  mutable std::condition_variable Arrived;
+  std::vector<TrafficReply> Replies;
+};
+
+} // namespace acaciacross::traffic
+
+#endif
--- /dev/null
+++ b/Source/UnitTests/Traffic/ServiceEngineTest.cpp
@@ -0,0 +1,158 @@
+#include "Traffic/ServiceEngine.h"
+
+#include "ManualPort.h"
+#include "ReplyRecord.h"
+#include "TestSupport/ManualClock.h"
+#include "ViewBuilder.h"
+
+#include <gtest/gtest.h>
+
+namespace acaciacross::traffic {
+
+using common::ResultCode;
+using std::chrono::milliseconds;
+
+class ServiceEngineTest : public testing::Test {
+protected:
+  ServiceEngineTest() { this->Engine.updateView(*this->View); }
+
+  EngineSettings makeSettings() {
+    EngineSettings Chosen;
+    Chosen.Service = common::ServiceName("lots");
+    Chosen.Identity = {common::VmId("entry-1"),
+                       {"127.0.0.1", 7101},
+                       common::Incarnation(7),
+                       this->Time.monotonicNow(),
+                       99};
+    Chosen.MaxRunning = 2;
+    return Chosen;
+  }
+
+  std::shared_ptr<ReplyRecord>
+  send(const char *Class, std::optional<tickets::Ticket> Ticket = {}) {
+    auto Record = std::make_shared<ReplyRecord>();
+    const auto Now = this->Time.monotonicNow();
+    this->Engine.accept({common::RequestId("r"), common::ClassName(Class), "b",
+                         std::move(Ticket), Now, Now + milliseconds(1000)},
+                        Record);
+    return Record;
+  }
+
+  tickets::Ticket issue() {
+    return *this->Engine.issueTicket(common::ClassName("book")).Issued;
+  }
+
+  void end(std::size_t Number, query::AttemptStatus Status) {
+    const query::AttemptSpec &Spec = this->Port.Started.at(Number);
+    EndedAttempt Ended;
+    Ended.Searcher = Spec.Searcher;
+    Ended.Result.Attempt = Spec.Id;
+    Ended.Result.Status = Status;
+    if (Status == query::AttemptStatus::Answered)
+      Ended.Result.Reply =
+          query::ShardReply{Spec.Id, Spec.Snapshot, Spec.Shard, {0, 9}, "x"};
+    this->Engine.onAttemptsEnded({Ended});
+  }
+
+  testsupport::ManualClock Time;
+  ManualPort Port;
+  std::shared_ptr<control::ControlView> View = makeView({"127.0.0.1", 1});
+  ServiceEngine Engine{makeSettings(), this->Port, this->Time};
+};
+
+// Two requests under way at once must not get each other's answer.
+TEST_F(ServiceEngineTest, InterleavedAnswersReachTheirOwnRequests) {
+  const auto First = this->send("read");
+  const auto Second = this->send("read");
+  this->end(1, query::AttemptStatus::Answered);
+  EXPECT_EQ(First->count(), 0U);
+  EXPECT_EQ(Second->count(), 1U);
+  this->end(0, query::AttemptStatus::Answered);
+  EXPECT_EQ(First->count(), 1U);
+  EXPECT_EQ(Second->count(), 1U);
+}
+
+TEST_F(ServiceEngineTest, NonRepeatableRequestWithoutTicketIsRefused) {
+  EXPECT_EQ(this->send("book")->refusal(), ResultCode::TicketRequired);
+  EXPECT_TRUE(this->Port.Started.empty());
+}
+
+TEST_F(ServiceEngineTest, RepeatedTicketGetsTheStoredOutcomeWithoutRunning) {
+  const tickets::Ticket Given = this->issue();
+  const auto First = this->send("book", Given);
+  EXPECT_EQ(this->send("book", Given)->failure(), ResultCode::TicketInProgress);
+  this->end(0, query::AttemptStatus::Answered);
+  EXPECT_EQ(this->send("book", Given)->first().Result, First->first().Result);
+  EXPECT_EQ(this->Port.Started.size(), 1U);
+}
+
+// The upstream may have booked the lot although no answer came.
+TEST_F(ServiceEngineTest, LostBookingFailsAndIsNeverSentAgain) {
+  const tickets::Ticket Given = this->issue();
+  EXPECT_EQ(
+      [&] {
+        const auto Record = this->send("book", Given);
+        this->end(0, query::AttemptStatus::Lost);
+        return Record->failure();
+      }(),
+      ResultCode::AttemptLost);
+  EXPECT_EQ(this->send("book", Given)->failure(), ResultCode::AttemptLost);
+  EXPECT_EQ(this->Port.Started.size(), 1U);
+}
+
+// The class may become repeatable between the ticket's issue and its use.
+TEST_F(ServiceEngineTest, TicketOfAClassNowRepeatableStillRunsOnce) {
+  const tickets::Ticket Given = this->issue();
+  this->View->Classes[common::ClassName("book")].Repeatable = true;
+  this->View->Classes[common::ClassName("book")].ExtraLoadTarget = 1.0;
+  this->Engine.updateView(*this->View);
+  const auto Record = this->send("book", Given);
+  EXPECT_FALSE(this->Port.Started.at(0).Repeatable);
+  this->end(0, query::AttemptStatus::Lost);
+  EXPECT_EQ(Record->failure(), ResultCode::AttemptLost);
+}
+
+// The record decides first: "not run" would be false for a ticket that ran.
+TEST_F(ServiceEngineTest, UsedTicketOfARemovedClassGetsTheStoredOutcome) {
+  const tickets::Ticket Given = this->issue();
+  const auto First = this->send("book", Given);
+  this->end(0, query::AttemptStatus::Answered);
+  this->View->Classes.clear();
+  this->Engine.updateView(*this->View);
+  EXPECT_EQ(this->send("book", Given)->first().Result, First->first().Result);
+}
+
+TEST_F(ServiceEngineTest, RequestAboveTheCapIsRefusedAndItsTicketStaysUnused) {
+  this->send("read");
+  this->send("read");
+  const tickets::Ticket Given = this->issue();
+  EXPECT_EQ(this->send("book", Given)->refusal(), ResultCode::Overloaded);
+  this->end(0, query::AttemptStatus::Answered);
+  this->send("book", Given);
+  EXPECT_EQ(this->Port.Started.size(), 3U);
+}
+
+// A searcher that hangs never ends an attempt; only the deadline shows it.
+TEST_F(ServiceEngineTest, DeadlineEndsTheQueryAndReportsTheCancelledAttempt) {
+  const auto Record = this->send("read");
+  this->Time.advance(milliseconds(1000));
+  EXPECT_LE(*this->Engine.nextTimer(), this->Time.monotonicNow());
+  this->Engine.onTimers();
+  EXPECT_EQ(Record->failure(), ResultCode::DeadlinePassed);
+  const auto Evidence = this->Engine.takeEvidence();
+  ASSERT_EQ(Evidence.size(), 1U);
+  EXPECT_EQ(Evidence[0].Status, query::AttemptStatus::Cancelled);
+  EXPECT_EQ(this->Port.Cancelled.size(), 1U);
+  EXPECT_EQ(this->Engine.nextTimer(), std::nullopt);
+}
+
+TEST_F(ServiceEngineTest, AbortAnswersEveryRequest) {
+  const auto First = this->send("read");
+  const auto Second = this->send("read");
+  this->Engine.abortAll();
+  EXPECT_EQ(First->failure(), ResultCode::Interrupted);
+  EXPECT_EQ(Second->failure(), ResultCode::Interrupted);
+  EXPECT_EQ(this->Engine.runningCount(), 0U);
+}
+
+} // namespace acaciacross::traffic
