StandIns: platform and searcher for tests and the demo

Tests with real processes need a configuration service, a VM list and searchers that speak the published protocol and fail on demand. No product program links them. Faults are query parameters, so no JSON is parsed for them; the control address of searchers is apart from their own addresses, so that it does not count against the connection caps.

--- /dev/null
+++ b/Source/StandIns/Http/HttpResponse.h
@@ -0,0 +1,21 @@
+#ifndef ACACIACROSS_STANDINS_HTTP_HTTPRESPONSE_H
+#define ACACIACROSS_STANDINS_HTTP_HTTPRESPONSE_H
+
+#include <map>
+#include <string>
+
+namespace acaciacross::standins {
+
+/// A reply, or the end of the connection in its place.
+struct HttpResponse {
+  enum class Ending { Reply, CloseWithoutReply, ResetWithoutReply };
+
+  unsigned Status = 200;
+  std::string Body = {};
+  std::map<std::string, std::string> Headers = {};
+  Ending End = Ending::Reply;
+};
+
+} // namespace acaciacross::standins
+
+#endif
--- /dev/null
+++ b/Source/StandIns/Http/HttpServer.cpp
@@ -0,0 +1,170 @@
+#include "StandIns/Http/HttpServer.h"
+
+#include "Common/Error.h"
+#include "Common/ResultCode.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <cctype>
+#include <cstring>
+#include <memory>
+#include <microhttpd.h>
+#include <sys/socket.h>
+
+namespace acaciacross::standins {
+
+namespace {
+
+constexpr std::size_t MaxBodyBytes = std::size_t{4} << 20;
+/// Above every cap of a stand-in: the observer closes connections over the cap,
+/// while the limit of the library would leave them waiting in the backlog.
+constexpr unsigned MaxConnections = 4096;
+
+struct Connection {
+  common::MonotonicTime Accepted = std::chrono::steady_clock::now();
+  bool Used = false;
+};
+
+struct Exchange {
+  HttpRequest Request;
+  bool TooLarge = false;
+};
+
+MHD_Result addParameter(void *Target, MHD_ValueKind, const char *Name,
+                        const char *Value) {
+  auto &Parameters = *static_cast<std::map<std::string, std::string> *>(Target);
+  Parameters[Name] = Value == nullptr ? "" : Value;
+  return MHD_YES;
+}
+
+MHD_Result addHeader(void *Target, MHD_ValueKind, const char *Name,
+                     const char *Value) {
+  std::string Lower = Name;
+  std::transform(
+      Lower.begin(), Lower.end(), Lower.begin(),
+      [](unsigned char C) { return static_cast<char>(std::tolower(C)); });
+  auto &Headers = *static_cast<std::map<std::string, std::string> *>(Target);
+  Headers[Lower] = Value == nullptr ? "" : Value;
+  return MHD_YES;
+}
+
+MHD_Result sendReply(MHD_Connection *Wire, const HttpResponse &Response) {
+  MHD_Response *Reply = MHD_create_response_from_buffer(
+      Response.Body.size(),
+      const_cast<char *>(Response.Body.data()), // copied by the library
+      MHD_RESPMEM_MUST_COPY);
+  MHD_add_response_header(Reply, "Content-Type", "application/json");
+  for (const auto &[Name, Value] : Response.Headers)
+    MHD_add_response_header(Reply, Name.c_str(), Value.c_str());
+  const MHD_Result Queued = MHD_queue_response(Wire, Response.Status, Reply);
+  MHD_destroy_response(Reply);
+  return Queued;
+}
+
+MHD_Result finish(MHD_Connection *Wire, const HttpRequest &Request,
+                  const HttpResponse &Response) {
+  if (Response.End == HttpResponse::Ending::Reply)
+    return sendReply(Wire, Response);
+  if (Response.End == HttpResponse::Ending::ResetWithoutReply) {
+    const linger Abort{1, 0};
+    setsockopt(Request.Socket, SOL_SOCKET, SO_LINGER, &Abort, sizeof(Abort));
+  }
+  return MHD_NO;
+}
+
+void readHead(MHD_Connection *Wire, const char *Url, const char *Method,
+              HttpRequest &Request) {
+  Request.Method = Method;
+  Request.Path = Url;
+  MHD_get_connection_values(Wire, MHD_GET_ARGUMENT_KIND, addParameter,
+                            &Request.Parameters);
+  MHD_get_connection_values(Wire, MHD_HEADER_KIND, addHeader, &Request.Headers);
+  Request.Socket =
+      MHD_get_connection_info(Wire, MHD_CONNECTION_INFO_CONNECTION_FD)
+          ->connect_fd;
+  auto *Entry = static_cast<Connection *>(
+      MHD_get_connection_info(Wire, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+          ->socket_context);
+  Request.ConnectionAccepted = Entry->Accepted;
+  Request.FirstOnConnection = !Entry->Used;
+  Entry->Used = true;
+}
+
+MHD_Result onRequest(void *Handler, MHD_Connection *Wire, const char *Url,
+                     const char *Method, const char *, const char *Data,
+                     size_t *Size, void **Context) {
+  if (*Context == nullptr) {
+    auto *Fresh = new Exchange;
+    readHead(Wire, Url, Method, Fresh->Request);
+    *Context = Fresh;
+    return MHD_YES;
+  }
+  auto &Current = *static_cast<Exchange *>(*Context);
+  if (*Size > 0) {
+    Current.TooLarge |= Current.Request.Body.size() + *Size > MaxBodyBytes;
+    if (!Current.TooLarge)
+      Current.Request.Body.append(Data, *Size);
+    *Size = 0;
+    return MHD_YES;
+  }
+  if (Current.TooLarge)
+    return sendReply(Wire, {413, "{}", {}, HttpResponse::Ending::Reply});
+  return finish(Wire, Current.Request,
+                static_cast<HttpHandler *>(Handler)->handle(Current.Request));
+}
+
+void onCompleted(void *, MHD_Connection *, void **Context,
+                 MHD_RequestTerminationCode) {
+  delete static_cast<Exchange *>(*Context);
+  *Context = nullptr;
+}
+
+MHD_Result onAccept(void *Observer, const sockaddr *, socklen_t) {
+  return static_cast<ConnectionObserver *>(Observer)->connectionOpened()
+             ? MHD_YES
+             : MHD_NO;
+}
+
+void onConnection(void *Observer, MHD_Connection *, void **Context,
+                  MHD_ConnectionNotificationCode Code) {
+  if (Code == MHD_CONNECTION_NOTIFY_STARTED) {
+    *Context = new Connection;
+    return;
+  }
+  delete static_cast<Connection *>(*Context);
+  static_cast<ConnectionObserver *>(Observer)->connectionClosed();
+}
+
+} // namespace
+
+HttpServer::HttpServer(const common::Address &Listen, HttpHandler &Requests,
+                       ConnectionObserver &Connections)
+    : Requests(Requests) {
+  sockaddr_in Where{};
+  Where.sin_family = AF_INET;
+  Where.sin_port = htons(Listen.Port);
+  inet_pton(AF_INET, Listen.Host.c_str(), &Where.sin_addr);
+  this->Daemon = MHD_start_daemon(
+      MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION |
+          MHD_USE_POLL,
+      Listen.Port, onAccept, &Connections, onRequest, &Requests,
+      MHD_OPTION_SOCK_ADDR, &Where, MHD_OPTION_CONNECTION_LIMIT, MaxConnections,
+      MHD_OPTION_NOTIFY_COMPLETED, onCompleted, nullptr,
+      MHD_OPTION_NOTIFY_CONNECTION, onConnection, &Connections,
+      MHD_OPTION_THREAD_STACK_SIZE, std::size_t{256} << 10,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+  if (this->Daemon == nullptr)
+    throw common::Error(common::ResultCode::SocketFailed,
+                        "cannot listen on " + Listen.toString());
+}
+
+HttpServer::~HttpServer() {
+  this->Requests.stop();
+  MHD_stop_daemon(this->Daemon);
+}
+
+std::uint16_t HttpServer::port() const {
+  return MHD_get_daemon_info(this->Daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+}
+
+} // namespace acaciacross::standins
--- /dev/null
+++ b/Source/StandIns/Platform/VmEntry.h
@@ -0,0 +1,20 @@
+#ifndef ACACIACROSS_STANDINS_PLATFORM_VMENTRY_H
+#define ACACIACROSS_STANDINS_PLATFORM_VMENTRY_H
+
+#include <cstdint>
+#include <string>
+
+namespace acaciacross::standins {
+
+/// One VM of the platform's list.
+struct VmEntry {
+  std::string Id;
+  std::string Kind;
+  std::string Host;
+  std::uint16_t Port = 0;
+  std::string State;
+};
+
+} // namespace acaciacross::standins
+
+#endif
--- /dev/null
+++ b/Source/StandIns/Searcher/FixedServiceTime.h
@@ -0,0 +1,21 @@
+#ifndef ACACIACROSS_STANDINS_SEARCHER_FIXEDSERVICETIME_H
+#define ACACIACROSS_STANDINS_SEARCHER_FIXEDSERVICETIME_H
+
+#include "StandIns/Searcher/ServiceTime.h"
+
+namespace acaciacross::standins {
+
+/// The same time for every search.
+class FixedServiceTime final : public ServiceTime {
+public:
+  explicit FixedServiceTime(std::chrono::microseconds Time) : Time(Time) {}
+
+  std::chrono::microseconds next() override { return this->Time; }
+
+private:
+  std::chrono::microseconds Time;
+};
+
+} // namespace acaciacross::standins
+
+#endif
--- /dev/null
+++ b/Source/StandIns/Searcher/HealthPage.h
@@ -0,0 +1,19 @@
+#ifndef ACACIACROSS_STANDINS_SEARCHER_HEALTHPAGE_H
+#define ACACIACROSS_STANDINS_SEARCHER_HEALTHPAGE_H
+
+#include <string>
+#include <vector>
+
+namespace acaciacross::standins {
+
+/// Contents of GET /health.
+struct HealthPage {
+  /// "serving" or "leaving".
+  std::string Status;
+  std::vector<std::string> Snapshots;
+  bool Cold = false;
+};
+
+} // namespace acaciacross::standins
+
+#endif
--- /dev/null
+++ b/Source/StandIns/Searcher/SearchCall.h
@@ -0,0 +1,27 @@
+#ifndef ACACIACROSS_STANDINS_SEARCHER_SEARCHCALL_H
+#define ACACIACROSS_STANDINS_SEARCHER_SEARCHCALL_H
+
+#include "Common/Time.h"
+#include "StandIns/Http/HttpRequest.h"
+
+#include <optional>
+#include <string>
+
+namespace acaciacross::standins {
+
+/// A search as its headers describe it.
+struct SearchCall {
+  std::string RequestId;
+  std::string AttemptId;
+  std::string ClassName;
+  std::string Snapshot;
+  std::uint32_t Shard = 0;
+  common::WallTime Deadline;
+
+  /// Empty when a header is missing or malformed.
+  static std::optional<SearchCall> parse(const HttpRequest &Request);
+};
+
+} // namespace acaciacross::standins
+
+#endif
