Membership: probe rounds within the control budget

Cause: each probed peer costs four packets a round (probe and acknowledgement, both ways). Rounds of 16 would take about twice the control budget of 14 KB/s.

Change: fleets of up to 16 peers are probed in turns of 8 a round, so each peer is probed at least every 400 ms; larger fleets get 3 probes a round: a peer that left a probe unanswered, an address that never answered, random peers. A peer is lost only after three unanswered probes, because a large fleet may have probed it only once. A VM that answers at the address of another makes that one lost. A pull of configuration may name a floor instead of every key.

--- a/Source/Membership/AddressHints.cpp
+++ b/Source/Membership/AddressHints.cpp
@@ -1,5 +1,7 @@
 #include "Membership/AddressHints.h"
 
+#include <cstddef>
+#include <iterator>
 #include <utility>
 
 namespace acaciacross::membership {
@@ -39,6 +41,14 @@
   });
 }
 
+std::size_t AddressHints::size() const { return this->MentionedAt.size(); }
+
+const common::Address &AddressHints::at(std::size_t Position) const {
+  return std::next(this->MentionedAt.begin(),
+                   static_cast<std::ptrdiff_t>(Position))
+      ->first;
+}
+
 std::vector<common::Address> AddressHints::addresses() const {
   std::vector<common::Address> Peers;
   for (const auto &[Peer, Time] : this->MentionedAt)
--- a/Source/Membership/AddressHints.h
+++ b/Source/Membership/AddressHints.h
@@ -27,6 +27,9 @@
   void expire(common::MonotonicTime Now);
 
   std::vector<common::Address> addresses() const;
+  std::size_t size() const;
+  /// The address at a position below size().
+  const common::Address &at(std::size_t Position) const;
 
 private:
   common::Address Self;
--- a/Source/Membership/FleetLimits.h
+++ b/Source/Membership/FleetLimits.h
@@ -18,9 +18,11 @@
 /// A peer without evidence for this long is lost.
 constexpr std::chrono::milliseconds LossLimit{3000};
 
-/// A peer is lost only if its probes stayed unanswered this long: in a large
-/// fleet a peer may not have been probed at all for more than the loss limit.
+/// A peer is lost only if this many probes stayed unanswered this long: in a
+/// large fleet a peer may not have been probed at all for the loss limit, or
+/// only once.
 constexpr std::chrono::milliseconds UnansweredLimit{2500};
+constexpr std::size_t UnansweredProbes = 3;
 
 /// A lost peer is probed this long, so that a network partition of minutes
 /// heals without help of the VM list.
@@ -29,8 +31,14 @@
 /// Time between two rounds of probes.
 constexpr std::chrono::milliseconds ProbePeriod{200};
 
-/// Most peers probed per round.
-constexpr std::size_t MaxProbesPerRound = 16;
+/// Fleets of up to this many peers are probed whole, in turns.
+constexpr std::size_t SmallFleetPeers = 16;
+
+/// Most peers probed per round in a small and in a larger fleet. Each costs
+/// about 1.6 KB/s with the acknowledgements and the probes of the peer, out of
+/// 14 KB/s; a larger fleet also needs about half of that for documents.
+constexpr std::size_t SmallFleetRound = 8;
+constexpr std::size_t LargeFleetRound = 3;
 
 /// Most peers kept: the fleet in two years (6,600) with room for replacements.
 constexpr std::size_t MaxPeers = 8192;
--- a/Source/Membership/FleetTable.cpp
+++ b/Source/Membership/FleetTable.cpp
@@ -40,8 +40,9 @@
   Record.Peers = From;
   Record.EvidenceAt = SentAt;
   Record.QuietSince = SentAt;
+  std::vector<FleetEvent> Events = this->takeAddress(Status.Vm, From);
   this->Records.emplace(Status.Vm, std::move(Record));
-  std::vector<FleetEvent> Events = {eventOf(FleetEventKind::Joined, Status)};
+  Events.push_back(eventOf(FleetEventKind::Joined, Status));
   if (Status.State == ServingState::Leaving)
     Events.push_back(eventOf(FleetEventKind::Leaving, Status));
   return Events;
@@ -69,6 +70,8 @@
     return {eventOf(FleetEventKind::Leaving, Status)};
   }
   std::vector<FleetEvent> Events;
+  if (Record.Peers != From)
+    Events = this->takeAddress(Status.Vm, From);
   if (!IsSameRun) {
     this->restart(Record, Status);
     Events.push_back(eventOf(FleetEventKind::Restarted, Status));
@@ -87,6 +90,7 @@
   Record.QuietSince = SentAt;
   Record.Confirmed = true;
   Record.UnansweredSince.reset();
+  Record.Unanswered = 0;
   Record.Lost = false;
   return Events;
 }
@@ -113,10 +117,13 @@
 
 void FleetTable::markProbed(const common::Address &To,
                             common::MonotonicTime Now) {
-  for (auto &[Vm, Record] : this->Records) {
-    if (Record.Peers == To && !Record.UnansweredSince)
-      Record.UnansweredSince = Now;
-  }
+  const auto Found = this->ByAddress.find(To);
+  if (Found == this->ByAddress.end())
+    return;
+  PeerRecord &Record = this->Records.at(Found->second);
+  if (!Record.UnansweredSince)
+    Record.UnansweredSince = Now;
+  ++Record.Unanswered;
 }
 
 std::vector<FleetEvent> FleetTable::expire(common::MonotonicTime Now) {
@@ -125,14 +132,19 @@
     if (Record.Lost || !Record.UnansweredSince)
       continue;
     if (Now - Record.QuietSince < LossLimit ||
-        Now - *Record.UnansweredSince < UnansweredLimit)
+        Now - *Record.UnansweredSince < UnansweredLimit ||
+        Record.Unanswered < UnansweredProbes)
       continue;
     Record.Lost = true;
     Events.push_back(eventOf(FleetEventKind::Lost, Record.Status));
   }
-  std::erase_if(this->Records, [Now](const auto &Entry) {
-    return Entry.second.Lost && Now - Entry.second.QuietSince >= ForgetLimit;
-  });
+  std::vector<common::VmId> Forgotten;
+  for (const auto &[Vm, Record] : this->Records) {
+    if (Record.Lost && Now - Record.QuietSince >= ForgetLimit)
+      Forgotten.push_back(Vm);
+  }
+  for (const common::VmId &Vm : Forgotten)
+    this->erase(Vm);
   return Events;
 }
 
@@ -141,6 +153,7 @@
     Record.Confirmed = false;
     Record.QuietSince = PauseEnd;
     Record.UnansweredSince.reset();
+    Record.Unanswered = 0;
   }
 }
 
@@ -174,6 +187,40 @@
   return Found == this->Records.end() ? nullptr : &Found->second;
 }
 
+bool FleetTable::knows(const common::Address &Peers) const {
+  return this->ByAddress.contains(Peers);
+}
+
+// A VM that answers at the address of another has taken its place there, so the
+// other one can no longer be probed and would never be found lost.
+std::vector<FleetEvent> FleetTable::takeAddress(const common::VmId &Vm,
+                                                const common::Address &From) {
+  std::vector<FleetEvent> Events;
+  const auto [Entry, IsNew] = this->ByAddress.try_emplace(From, Vm);
+  if (!IsNew && Entry->second != Vm) {
+    PeerRecord &Former = this->Records.at(Entry->second);
+    if (!Former.Lost)
+      Events.push_back(eventOf(FleetEventKind::Lost, Former.Status));
+    Former.Lost = true;
+    Entry->second = Vm;
+  }
+  const auto Own = this->Records.find(Vm);
+  if (Own == this->Records.end() || Own->second.Peers == From)
+    return Events;
+  const auto Before = this->ByAddress.find(Own->second.Peers);
+  if (Before != this->ByAddress.end() && Before->second == Vm)
+    this->ByAddress.erase(Before);
+  return Events;
+}
+
+void FleetTable::erase(const common::VmId &Vm) {
+  const auto Record = this->Records.find(Vm);
+  const auto Entry = this->ByAddress.find(Record->second.Peers);
+  if (Entry != this->ByAddress.end() && Entry->second == Vm)
+    this->ByAddress.erase(Entry);
+  this->Records.erase(Record);
+}
+
 bool FleetTable::makeRoom() {
   if (this->Records.size() < this->Capacity)
     return true;
@@ -181,7 +228,7 @@
       this->Records, [](const auto &Entry) { return Entry.second.Lost; });
   if (Lost == this->Records.end())
     return false;
-  this->Records.erase(Lost);
+  this->erase(common::VmId(Lost->first));
   return true;
 }
 
--- a/Source/Membership/FleetTable.h
+++ b/Source/Membership/FleetTable.h
@@ -45,6 +45,8 @@
 
   const std::map<common::VmId, PeerRecord> &records() const;
   const PeerRecord *find(const common::VmId &Vm) const;
+  /// Whether a peer answers at that address.
+  bool knows(const common::Address &Peers) const;
 
 private:
   std::vector<FleetEvent> insert(const MemberStatus &Status,
@@ -55,11 +57,16 @@
                                   const common::Address &From,
                                   common::MonotonicTime SentAt);
   void restart(PeerRecord &Record, const MemberStatus &Status);
+  std::vector<FleetEvent> takeAddress(const common::VmId &Vm,
+                                      const common::Address &From);
+  void erase(const common::VmId &Vm);
   bool makeRoom();
 
   common::VmId Self;
   std::size_t Capacity;
   std::map<common::VmId, PeerRecord> Records;
+  /// The peer that answered last at each address.
+  std::map<common::Address, common::VmId> ByAddress;
 };
 
 } // namespace acaciacross::membership
--- a/Source/Membership/PeerRecord.h
+++ b/Source/Membership/PeerRecord.h
@@ -4,6 +4,7 @@
 #include "Common/Time.h"
 #include "Membership/MemberStatus.h"
 
+#include <cstddef>
 #include <optional>
 #include <vector>
 
@@ -21,6 +22,8 @@
   common::MonotonicTime QuietSince;
   /// When the first probe since the last acknowledgement was sent.
   std::optional<common::MonotonicTime> UnansweredSince;
+  /// How many were sent since then.
+  std::size_t Unanswered = 0;
   bool Lost = false;
   /// Earlier runs of the same VM, newest last; they are never accepted again.
   std::vector<common::Incarnation> Retired;
--- a/Source/Membership/Prober.cpp
+++ b/Source/Membership/Prober.cpp
@@ -1,27 +1,14 @@
 #include "Membership/Prober.h"
 
 #include <algorithm>
-#include <iterator>
 #include <set>
-#include <utility>
 
 namespace acaciacross::membership {
 
 namespace {
 
-// Share of a round for peers that left a probe unanswered, so that one lost
-// datagram does not make a peer of a large fleet lost; and for addresses that
-// never answered.
-constexpr std::size_t MaxSuspectsPerRound = 4;
-constexpr std::size_t MaxHintsPerRound = 4;
-
-void append(std::vector<common::Address> &Targets,
-            const std::vector<common::Address> &More) {
-  for (const common::Address &Peer : More) {
-    if (std::ranges::count(Targets, Peer) == 0)
-      Targets.push_back(Peer);
-  }
-}
+// Random picks that may hit an address twice or a known one.
+constexpr std::size_t MaxTries = 8;
 
 } // namespace
 
@@ -58,43 +45,66 @@
 
 std::vector<common::Address> Prober::chooseTargets(const FleetTable &Fleet,
                                                    const AddressHints &Hints) {
-  std::set<common::Address> Known;
-  std::vector<common::Address> Suspects;
-  for (const auto &[Vm, Record] : Fleet.records()) {
-    if (!Known.insert(Record.Peers).second)
-      continue;
-    if (Record.UnansweredSince && !Record.Lost)
-      Suspects.push_back(Record.Peers);
-  }
-  std::vector<common::Address> Unknown;
-  for (const common::Address &Hint : Hints.addresses()) {
-    if (!Known.contains(Hint))
-      Unknown.push_back(Hint);
+  if (Fleet.records().size() + Hints.size() <= 2 * SmallFleetPeers) {
+    std::set<common::Address> All;
+    for (const auto &[Vm, Record] : Fleet.records())
+      All.insert(Record.Peers);
+    for (const common::Address &Hint : Hints.addresses())
+      All.insert(Hint);
+    if (All.size() <= SmallFleetPeers)
+      return this->inTurn(All);
   }
-  std::vector<common::Address> All(Known.begin(), Known.end());
-  if (All.size() + Unknown.size() <= MaxProbesPerRound) {
-    append(All, Unknown);
-    return All;
+  return this->sample(Fleet, Hints);
+}
+
+std::vector<common::Address>
+Prober::inTurn(const std::set<common::Address> &All) {
+  std::vector<common::Address> Targets;
+  auto Next = All.upper_bound(this->LastTarget);
+  while (Targets.size() < std::min(All.size(), SmallFleetRound)) {
+    if (Next == All.end())
+      Next = All.begin();
+    Targets.push_back(*Next++);
   }
-  std::vector<common::Address> Targets =
-      this->sample(std::move(Suspects), MaxSuspectsPerRound);
-  append(Targets, this->sample(std::move(Unknown), MaxHintsPerRound));
-  append(Targets, this->sample(std::move(All), MaxProbesPerRound));
-  if (Targets.size() > MaxProbesPerRound)
-    Targets.resize(MaxProbesPerRound);
+  if (!Targets.empty())
+    this->LastTarget = Targets.back();
   return Targets;
 }
 
-std::vector<common::Address> Prober::sample(std::vector<common::Address> Pool,
-                                            std::size_t Count) {
-  const std::size_t Taken = std::min(Count, Pool.size());
-  for (std::size_t Position = 0; Position < Taken; ++Position) {
-    const std::size_t Other =
-        Position + this->Random.below(Pool.size() - Position);
-    std::swap(Pool[Position], Pool[Other]);
+// One place for a peer that left a probe unanswered, so that it is soon known
+// whether a datagram or the peer was lost, and one for an address that never
+// answered; random peers take the rest.
+std::vector<common::Address> Prober::sample(const FleetTable &Fleet,
+                                            const AddressHints &Hints) {
+  std::vector<const common::Address *> Known;
+  std::vector<const common::Address *> Suspects;
+  for (const auto &[Vm, Record] : Fleet.records()) {
+    Known.push_back(&Record.Peers);
+    if (Record.UnansweredSince && !Record.Lost)
+      Suspects.push_back(&Record.Peers);
+  }
+  std::set<common::Address> Targets;
+  if (!Suspects.empty())
+    Targets.insert(*Suspects[this->Random.below(Suspects.size())]);
+  if (const auto Hint = this->pickUnknown(Fleet, Hints))
+    Targets.insert(*Hint);
+  for (std::size_t Try = 0;
+       !Known.empty() && Targets.size() < LargeFleetRound && Try < MaxTries;
+       ++Try)
+    Targets.insert(*Known[this->Random.below(Known.size())]);
+  return {Targets.begin(), Targets.end()};
+}
+
+std::optional<common::Address> Prober::pickUnknown(const FleetTable &Fleet,
+                                                   const AddressHints &Hints) {
+  if (Hints.size() == 0)
+    return std::nullopt;
+  for (std::size_t Try = 0; Try < MaxTries; ++Try) {
+    const common::Address Hint = Hints.at(this->Random.below(Hints.size()));
+    if (!Fleet.knows(Hint))
+      return Hint;
   }
-  Pool.resize(Taken);
-  return Pool;
+  return std::nullopt;
 }
 
 void Prober::expire(common::MonotonicTime Now) {
--- a/Source/Membership/Prober.h
+++ b/Source/Membership/Prober.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace acaciacross::membership {
@@ -37,13 +38,18 @@
 private:
   std::vector<common::Address> chooseTargets(const FleetTable &Fleet,
                                              const AddressHints &Hints);
-  std::vector<common::Address> sample(std::vector<common::Address> Pool,
-                                      std::size_t Count);
+  /// The next peers of a small fleet, in the order of their addresses.
+  std::vector<common::Address> inTurn(const std::set<common::Address> &All);
+  std::vector<common::Address> sample(const FleetTable &Fleet,
+                                      const AddressHints &Hints);
+  std::optional<common::Address> pickUnknown(const FleetTable &Fleet,
+                                             const AddressHints &Hints);
   void expire(common::MonotonicTime Now);
 
   PeerChannel &Channel;
   common::RandomSource &Random;
   std::uint64_t NextSequence;
+  common::Address LastTarget;
   std::map<std::uint64_t, PendingProbe> Pending;
 };
 
--- a/Source/Peering/ConfigurationPullMessage.h
+++ b/Source/Peering/ConfigurationPullMessage.h
@@ -8,8 +8,11 @@
 
 namespace acaciacross::peering {
 
-/// Asks for the keys whose revision at the peer is higher than these.
+/// Asks for the keys whose revision at the peer is higher than Floor and than
+/// that in Known.
 struct ConfigurationPullMessage {
+  /// With an empty Known list, a VM that has all up to here sends few bytes.
+  common::Revision Floor;
   std::map<std::string, common::Revision> Known;
 
   bool operator==(const ConfigurationPullMessage &) const = default;
--- a/Source/Peering/MessageLimits.h
+++ b/Source/Peering/MessageLimits.h
@@ -17,11 +17,12 @@
 constexpr std::size_t MaxNameBytes = 64;
 
 constexpr std::size_t MaxKeyBytes = 128;
-constexpr std::size_t MaxKeys = 512;
+/// Two years on: a service per 30 of 42,000 searchers, with room.
+constexpr std::size_t MaxKeys = 4096;
 /// The configuration service holds values of up to 1 MB.
 constexpr std::size_t MaxDocumentBytes = 1U << 20U;
 
-constexpr std::size_t MaxPullBytes = 128U << 10U;
+constexpr std::size_t MaxPullBytes = 1U << 20U;
 /// One reply; a receiver that is further behind pulls again.
 constexpr std::size_t MaxChangesBytes = 4U << 20U;
 
--- a/Source/Peering/TransferCodec.cpp
+++ b/Source/Peering/TransferCodec.cpp
@@ -49,6 +49,7 @@
 std::string encodePull(const ConfigurationPullMessage &Message) {
   WireWriter Out(MessageKind::ConfigurationPull);
   const std::size_t Count = std::min(MaxKeys, Message.Known.size());
+  Out.number(Message.Floor.Value);
   Out.number(static_cast<std::uint16_t>(Count));
   auto Entry = Message.Known.begin();
   for (std::size_t Index = 0; Index < Count; ++Index, ++Entry) {
@@ -64,6 +65,7 @@
   WireReader In(Bytes);
   expectKind(In, MessageKind::ConfigurationPull);
   ConfigurationPullMessage Message;
+  Message.Floor = common::Revision(In.number<std::uint64_t>());
   const std::size_t Count = In.count(MaxKeys);
   for (std::size_t Index = 0; Index < Count; ++Index) {
     const std::string Key = In.name(MaxKeyBytes);
--- a/Source/UnitTests/Membership/FleetScenarioTest.cpp
+++ b/Source/UnitTests/Membership/FleetScenarioTest.cpp
@@ -128,6 +128,19 @@
   EXPECT_TRUE(this->Observer.isNamed("peer"));
 }
 
+// A replacement under a new id at the same address would else leave the old VM
+// in the table for ever, because probes to the address are answered.
+TEST_F(FleetScenarioTest, VmThatTakesOverAnAddressMakesTheFormerOneLost) {
+  this->Observer.runFor(milliseconds(1000));
+  MemberStatus Other = status(9);
+  Other.Vm = common::VmId("replacement");
+  this->Observer.setRemote(this->At, Other);
+  this->Observer.runFor(milliseconds(500));
+  EXPECT_EQ(this->Observer.count(FleetEventKind::Lost), 1U);
+  EXPECT_FALSE(this->Observer.isNamed("peer"));
+  EXPECT_TRUE(this->Observer.isNamed("replacement"));
+}
+
 TEST_F(FleetScenarioTest, HintedAddressWithoutAnswerIsNoMember) {
   this->Observer.Hints.mention({"10.0.0.9", 1}, this->Observer.Now);
   this->Observer.runFor(std::chrono::seconds(5));
--- a/Source/UnitTests/Peering/TransferCodecTest.cpp
+++ b/Source/UnitTests/Peering/TransferCodecTest.cpp
@@ -14,6 +14,7 @@
 
 TEST_F(TransferCodecTest, PullComesBackWhole) {
   ConfigurationPullMessage Sent;
+  Sent.Floor = common::Revision(2);
   Sent.Known["classes"] = common::Revision(3);
   Sent.Known["service/crew-dispatch"] = common::Revision(9);
   EXPECT_EQ(decodePull(encodePull(Sent)), Sent);
