--- /dev/null
+++ b/Source/Frontend/DecodeError.h
@@ -0,0 +1,17 @@
+#ifndef ACACIACROSS_FRONTEND_DECODEERROR_H
+#define ACACIACROSS_FRONTEND_DECODEERROR_H
+
+#include "Common/Identifiers.h"
+#include "Common/ResultCode.h"
+
+namespace acaciacross::frontend {
+
+/// Why a body was refused, with the id as far as it could be read.
+struct DecodeError {
+  common::ResultCode Code = common::ResultCode::MalformedRequest;
+  common::RequestId Id;
+};
+
+} // namespace acaciacross::frontend
+
+#endif
