--- a/Source/Configuration/ServiceDocumentParser.cpp
+++ b/Source/Configuration/ServiceDocumentParser.cpp
@@ -93,7 +93,7 @@
   for (std::size_t I = 0; I < Order.size(); ++I)
     Order[I] = I;
   std::sort(Order.begin(), Order.end(), [&](std::size_t A, std::size_t B) {
-    return Shards[A].Range < Shards[B].Range;
+    return Shards[A].Range.Begin < Shards[B].Range.Begin;
   });
   std::uint64_t Expected = 0;
   for (const std::size_t Position : Order) {
--- a/Source/UnitTests/Configuration/ConfigurationStoreTest.cpp
+++ b/Source/UnitTests/Configuration/ConfigurationStoreTest.cpp
@@ -3,9 +3,10 @@
 #include "UnitTests/Configuration/SampleDocuments.h"
 
 #include <algorithm>
-#include <gtest/gtest.h>
 #include <random>
 
+#include <gtest/gtest.h>
+
 namespace acaciacross::configuration {
 
 class ConfigurationStoreTest : public testing::Test {
--- a/Source/UnitTests/Configuration/ReaderElectionTest.cpp
+++ b/Source/UnitTests/Configuration/ReaderElectionTest.cpp
@@ -1,9 +1,10 @@
 #include "Configuration/ReaderElection.h"
 
 #include <algorithm>
-#include <gtest/gtest.h>
 #include <iterator>
 
+#include <gtest/gtest.h>
+
 namespace acaciacross::configuration {
 
 using membership::ServingState;
--- a/Source/UnitTests/Control/ControlThreadTest.cpp
+++ b/Source/UnitTests/Control/ControlThreadTest.cpp
@@ -6,9 +6,10 @@
 
 #include <condition_variable>
 #include <future>
-#include <gtest/gtest.h>
 #include <mutex>
 
+#include <gtest/gtest.h>
+
 namespace acaciacross::control {
 
 using namespace std::chrono_literals;
--- a/Source/UnitTests/Platform/PlatformClientTest.cpp
+++ b/Source/UnitTests/Platform/PlatformClientTest.cpp
@@ -6,6 +6,7 @@
 #include "UnitTests/Platform/FakePlatform.h"
 
 #include <future>
+
 #include <gtest/gtest.h>
 
 namespace acaciacross::platform {
--- a/Source/UnitTests/Platform/PlatformDecoderTest.cpp
+++ b/Source/UnitTests/Platform/PlatformDecoderTest.cpp
@@ -2,9 +2,10 @@
 #include "Platform/PlatformError.h"
 #include "Platform/VmListDecoder.h"
 
-#include <gtest/gtest.h>
 #include <random>
 
+#include <gtest/gtest.h>
+
 namespace acaciacross::platform {
 
 class PlatformDecoderTest : public testing::Test {
