Peering: make the entry VM a member of the fleet

Cause: probes, configuration and drain notices have to reach the control state.

Tests: three VMs in one process on loopback, told of one address each.

--- a/Source/Membership/Prober.cpp
+++ b/Source/Membership/Prober.cpp
@@ -100,7 +100,7 @@
   if (Hints.size() == 0)
     return std::nullopt;
   for (std::size_t Try = 0; Try < MaxTries; ++Try) {
-    const common::Address Hint = Hints.at(this->Random.below(Hints.size()));
+    const common::Address &Hint = Hints.at(this->Random.below(Hints.size()));
     if (!Fleet.knows(Hint))
       return Hint;
   }
--- /dev/null
+++ b/Source/Peering/FleetAudit.cpp
@@ -0,0 +1,53 @@
+#include "Peering/FleetAudit.h"
+
+#include "Common/Log.h"
+
+namespace acaciacross::peering {
+
+namespace {
+
+using common::LogEvent;
+using membership::FleetEventKind;
+
+LogEvent logEventOf(FleetEventKind Kind) {
+  switch (Kind) {
+  case FleetEventKind::Joined:
+    return LogEvent::PeerJoined;
+  case FleetEventKind::Leaving:
+    return LogEvent::PeerLeaving;
+  case FleetEventKind::Lost:
+    return LogEvent::PeerLost;
+  case FleetEventKind::Restarted:
+    return LogEvent::PeerRestarted;
+  }
+  return LogEvent::PeerLost;
+}
+
+const char *textOf(FleetEventKind Kind) {
+  switch (Kind) {
+  case FleetEventKind::Joined:
+    return "joined";
+  case FleetEventKind::Leaving:
+    return "leaving";
+  case FleetEventKind::Lost:
+    return "lost";
+  case FleetEventKind::Restarted:
+    return "restarted";
+  }
+  return "";
+}
+
+} // namespace
+
+FleetAudit::FleetAudit(control::ControlState &Target) : State(Target) {}
+
+void FleetAudit::record(const membership::FleetEvent &Event,
+                        const std::string &Cause) {
+  this->State.note(Cause, Event.Vm.Value, textOf(Event.Kind));
+  common::logEvent(logEventOf(Event.Kind),
+                   "vm=" + Event.Vm.Value +
+                       " incarnation=" + std::to_string(Event.Run.Value) +
+                       " cause=\"" + Cause + "\"");
+}
+
+} // namespace acaciacross::peering
--- a/Source/Peering/ProbeSocket.cpp
+++ b/Source/Peering/ProbeSocket.cpp
@@ -16,6 +16,8 @@
 // The control thread has other work; what is left is read in the next round of
 // the reactor.
 constexpr int MaxDatagramsPerEvent = 64;
+// More than a socket buffer of the usual 208 KB holds.
+constexpr int MaxDiscarded = 4096;
 
 common::Address fromAce(const ACE_INET_Addr &Peer) {
   return common::Address{Peer.get_host_addr(), Peer.get_port_number()};
@@ -52,6 +54,16 @@
   this->send(To, ProbeAckMessage{Sequence, Content});
 }
 
+// Bounded, because peers go on sending meanwhile.
+void ProbeSocket::discardWaiting() {
+  char Byte = 0;
+  ACE_INET_Addr Peer;
+  for (int Count = 0; Count < MaxDiscarded; ++Count) {
+    if (this->Socket.recv(&Byte, 1, Peer) < 0)
+      return;
+  }
+}
+
 common::Address ProbeSocket::local() const {
   ACE_INET_Addr Bound;
   this->Socket.get_local_addr(Bound);
--- a/Source/Peering/ProbeSocket.h
+++ b/Source/Peering/ProbeSocket.h
@@ -31,6 +31,9 @@
   void sendAck(const common::Address &To, std::uint64_t Sequence,
                const membership::Heartbeat &Content) override;
 
+  /// Drops the datagrams that wait in the socket buffer.
+  void discardWaiting();
+
   /// The address that the socket is bound to.
   common::Address local() const;
 
--- /dev/null
+++ b/Source/UnitTests/Peering/FleetMemberTest.cpp
@@ -0,0 +1,135 @@
+#include "UnitTests/Configuration/SampleDocuments.h"
+#include "UnitTests/Peering/FleetNode.h"
+
+#include <gtest/gtest.h>
+
+#include <ace/INET_Addr.h>
+#include <ace/SOCK_Acceptor.h>
+
+namespace acaciacross::peering {
+
+/// Three entry VMs on loopback; only the first is told the others' addresses.
+class FleetMemberTest : public testing::Test {
+protected:
+  static common::Address freeAddress() {
+    ACE_SOCK_Acceptor Acceptor;
+    ACE_INET_Addr Bound;
+    Acceptor.open(ACE_INET_Addr(static_cast<u_short>(0), "127.0.0.1"));
+    Acceptor.get_local_addr(Bound);
+    Acceptor.close();
+    return {"127.0.0.1", Bound.get_port_number()};
+  }
+
+  std::unique_ptr<FleetNode> makeNode(int Number, std::uint64_t Seed) const {
+    std::vector<common::Address> Seeds;
+    if (Number != 0)
+      Seeds.push_back(this->Addresses[0]);
+    return std::make_unique<FleetNode>("entry-" + std::to_string(Number),
+                                       this->Addresses[Number], Seeds, Seed);
+  }
+
+  static void publish(FleetNode &Node, std::uint64_t Revision) {
+    Node.ask<bool>([Revision](control::ControlState &State) {
+      State.applyConfiguration(
+          {"classes", common::Revision(Revision), configuration::SampleClasses},
+          "service");
+      State.applyConfiguration({"service/crew-dispatch",
+                                common::Revision(Revision + 1),
+                                configuration::SampleService},
+                               "service");
+      return true;
+    });
+  }
+
+  static bool hasRevision(FleetNode &Node, std::uint64_t Revision) {
+    return Node.waitFor([Revision](control::ControlState &State) {
+      return State.configuration().highestRevision().Value == Revision;
+    });
+  }
+
+  std::vector<common::Address> Addresses = {freeAddress(), freeAddress(),
+                                            freeAddress()};
+  std::unique_ptr<FleetNode> First = makeNode(0, 1);
+  std::unique_ptr<FleetNode> Second = makeNode(1, 2);
+  std::unique_ptr<FleetNode> Third = makeNode(2, 3);
+};
+
+// P8: a change that reaches one VM is in effect on all, also on those that
+// cannot read the service.
+TEST_F(FleetMemberTest, ConfigurationOfOneIsInEffectOnAll) {
+  publish(*this->First, 5);
+  EXPECT_TRUE(hasRevision(*this->Second, 6));
+  EXPECT_TRUE(hasRevision(*this->Third, 6));
+  publish(*this->Third, 8);
+  EXPECT_TRUE(hasRevision(*this->First, 9));
+  EXPECT_TRUE(hasRevision(*this->Second, 9));
+}
+
+// A replacement VM must be able to serve while the service is down.
+TEST_F(FleetMemberTest, VmThatStartsWithoutServiceServesWhatPeersHave) {
+  publish(*this->First, 5);
+  ASSERT_TRUE(this->First->waitForEntryVms(3));
+  this->Third.reset();
+  this->Third = makeNode(2, 4);
+  EXPECT_TRUE(this->Third->waitFor([](control::ControlState &State) {
+    return State.servingState() == membership::ServingState::Serving;
+  }));
+  EXPECT_TRUE(this->First->waitForAudit("entry-2", "restarted"));
+}
+
+// A key of a low revision that one VM lacks does not show in the highest
+// revision, only in the digest.
+TEST_F(FleetMemberTest, MissingKeyBelowTheHighestRevisionIsPulled) {
+  publish(*this->First, 5);
+  ASSERT_TRUE(hasRevision(*this->Second, 6));
+  this->Second->ask<bool>([](control::ControlState &State) {
+    State.applyConfiguration({"service/weaving-batch", common::Revision(2),
+                              configuration::SampleService},
+                             "service");
+    return true;
+  });
+  EXPECT_TRUE(this->First->waitFor([](control::ControlState &State) {
+    return State.configuration().services().size() == 2;
+  }));
+}
+
+TEST_F(FleetMemberTest, DrainNoticeReachesVmsThatSawNoSign) {
+  publish(*this->First, 5);
+  ASSERT_TRUE(hasRevision(*this->Third, 6));
+  this->First->ask<bool>([](control::ControlState &State) {
+    State.applyDrainNotice(common::SearcherId("crew-1"),
+                           std::chrono::milliseconds(0));
+    return true;
+  });
+  EXPECT_TRUE(this->Third->waitFor([](control::ControlState &State) {
+    const auto Notices = State.drainNotices(16);
+    return Notices.size() == 1 && Notices[0].Searcher.Value == "crew-1";
+  }));
+}
+
+TEST_F(FleetMemberTest, LeavingAndLostVmsLeaveTheViewAndEnterTheAuditTrail) {
+  publish(*this->First, 5);
+  ASSERT_TRUE(this->Second->waitForEntryVms(3));
+  EXPECT_TRUE(this->Second->waitForAudit("entry-2", "joined"));
+  this->Third->ask<bool>([](control::ControlState &State) {
+    State.startLeaving();
+    return true;
+  });
+  EXPECT_TRUE(this->Second->waitForAudit("entry-2", "leaving"));
+  EXPECT_TRUE(this->Second->waitForEntryVms(2));
+  this->Third.reset();
+  EXPECT_TRUE(this->Second->waitForAudit("entry-2", "lost"));
+}
+
+TEST_F(FleetMemberTest, TwoOfThreeVmsOfAFailureDomainBecomeReaders) {
+  publish(*this->First, 5);
+  ASSERT_TRUE(this->First->waitForEntryVms(3));
+  ASSERT_TRUE(this->Third->waitForEntryVms(3));
+  EXPECT_TRUE(this->First->waitFor([this](control::ControlState &) {
+    return this->First->IsReader + this->Second->IsReader +
+               this->Third->IsReader ==
+           2;
+  }));
+}
+
+} // namespace acaciacross::peering
--- /dev/null
+++ b/Source/UnitTests/Peering/FleetNode.h
@@ -0,0 +1,94 @@
+#ifndef ACACIACROSS_UNITTESTS_PEERING_FLEETNODE_H
+#define ACACIACROSS_UNITTESTS_PEERING_FLEETNODE_H
+
+#include "Common/SeededRandom.h"
+#include "Common/SystemClock.h"
+#include "Control/ControlThread.h"
+#include "Peering/FleetMember.h"
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace acaciacross::peering {
+
+/// An entry VM's control thread and fleet member in this process, without a
+/// configuration service.
+class FleetNode : public ReaderRole {
+public:
+  FleetNode(const std::string &Id, const common::Address &Peers,
+            std::vector<common::Address> Seeds, std::uint64_t Seed)
+      : Random(Seed) {
+    configuration::EntrySettings Settings;
+    Settings.Vm = common::VmId(Id);
+    Settings.Zone = "lake-1";
+    Settings.FailureDomain = "lake-1-rack-a";
+    Settings.Callers = {"127.0.0.1", 7101};
+    Settings.Peers = Peers;
+    Settings.Seeds = std::move(Seeds);
+    this->Control = std::make_unique<control::ControlThread>(
+        std::make_unique<control::ControlState>(Settings, this->Time),
+        this->Time);
+    this->Member = std::make_unique<FleetMember>(
+        this->Control->state(), this->Control->reactor(), this->Time,
+        this->Random, *this);
+    this->Control->start();
+  }
+  ~FleetNode() override { this->Control->stop(); }
+
+  void setReader(bool Elected) override { this->IsReader = Elected; }
+  void readOnce() override { ++this->Reads; }
+
+  /// Runs the work on the control thread and gives its result.
+  template <typename Result>
+  Result ask(std::function<Result(control::ControlState &)> Work) {
+    std::promise<Result> Promise;
+    this->Control->post(
+        [&](control::ControlState &State) { Promise.set_value(Work(State)); });
+    return Promise.get_future().get();
+  }
+
+  /// Until the condition holds; false after ten seconds.
+  bool waitFor(const std::function<bool(control::ControlState &)> &Condition) {
+    const auto End = this->Time.monotonicNow() + std::chrono::seconds(10);
+    while (this->Time.monotonicNow() < End) {
+      if (this->ask<bool>(Condition))
+        return true;
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return false;
+  }
+
+  /// Whether the audit trail has such an entry.
+  bool waitForAudit(const std::string &Subject, const std::string &Text) {
+    return this->waitFor([&](control::ControlState &State) {
+      for (const control::AuditEntry &Entry : State.audit().after(0)) {
+        if (Entry.Subject == Subject && Entry.Text == Text)
+          return true;
+      }
+      return false;
+    });
+  }
+
+  /// Whether the view names that many entry VMs.
+  bool waitForEntryVms(std::size_t Count) {
+    return this->waitFor([Count](control::ControlState &State) {
+      return State.buildView()->EntryVms.size() == Count;
+    });
+  }
+
+  common::SystemClock Time;
+  common::SeededRandom Random;
+  std::atomic<bool> IsReader = false;
+  std::atomic<int> Reads = 0;
+  std::unique_ptr<control::ControlThread> Control;
+  std::unique_ptr<FleetMember> Member;
+};
+
+} // namespace acaciacross::peering
+
+#endif
