EntryNode: the daemon of an entry VM

acaciacross-entry reads its settings, opens the caller port and connects control thread, traffic threads, front end and the platform's clients.

Open: probes, reader election and health polls are not connected yet.

--- /dev/null
+++ b/Source/Programs/EntryNode/EntryNode.h
@@ -0,0 +1,50 @@
+#ifndef ACACIACROSS_PROGRAMS_ENTRYNODE_ENTRYNODE_H
+#define ACACIACROSS_PROGRAMS_ENTRYNODE_ENTRYNODE_H
+
+#include "Common/SeededRandom.h"
+#include "Common/SystemClock.h"
+#include "Configuration/EntrySettings.h"
+#include "Control/ControlThread.h"
+#include "Frontend/CallDispatcher.h"
+#include "Frontend/CallerServer.h"
+#include "Platform/ConfigurationWatcher.h"
+#include "Platform/VmListPoller.h"
+#include "Programs/EntryNode/ControlAuditSource.h"
+#include "Traffic/TrafficRouter.h"
+
+namespace acaciacross::entry {
+
+/// All parts of an entry VM's process.
+class EntryNode {
+public:
+  /// Opens the caller port. Throws common::Error when that fails.
+  explicit EntryNode(const configuration::EntrySettings &Settings);
+  ~EntryNode();
+
+  EntryNode(const EntryNode &) = delete;
+  EntryNode &operator=(const EntryNode &) = delete;
+
+  /// The planned stop: says that this VM leaves, serves until callers have
+  /// other addresses, closes the port, and returns when all requests have
+  /// ended.
+  void stopGracefully();
+
+private:
+  void linger();
+  void shutDown();
+
+  common::SystemClock Time;
+  common::SeededRandom Random;
+  control::ControlThread Control;
+  traffic::TrafficRouter Router;
+  ControlAuditSource Audit;
+  frontend::CallDispatcher Calls;
+  platform::ConfigurationWatcher Watcher;
+  platform::VmListPoller Poller;
+  frontend::CallerServer Server;
+  bool IsShutDown = false;
+};
+
+} // namespace acaciacross::entry
+
+#endif
