--- a/Source/Metrics/MetricsPage.cpp
+++ b/Source/Metrics/MetricsPage.cpp
@@ -69,6 +69,18 @@
            << "\"} " << seconds(Report.Latencies[I]) << '\n';
 }
 
+// A class without answers has no coverage; 0 would read as answers that cover
+// nothing.
+void writeCoverage(std::ostream &Page, std::span<const ClassReport> Reports) {
+  const std::string Name = "acaciacross_coverage_mean";
+  writeHead(Page, Name, "gauge",
+            "Mean coverage of answers in the last minutes.");
+  for (const ClassReport &Report : Reports)
+    if (Report.Answers > 0)
+      Page << Name << '{' << label(Report) << "} " << Report.MeanCoverage
+           << '\n';
+}
+
 } // namespace
 
 std::string MetricsPage::render(std::span<const ClassReport> Reports) {
@@ -83,9 +95,7 @@
   };
   writeOutcomes(Page, Reports);
   writeLatencies(Page, Reports);
-  writeFamily(Page, Reports, "acaciacross_coverage_mean", "gauge",
-              "Mean coverage of answers in the last minutes.",
-              [](const ClassReport &Report) { return Report.MeanCoverage; });
+  writeCoverage(Page, Reports);
   writeFamily(Page, Reports, "acaciacross_extra_load_ratio", "gauge",
               "Extra attempts by first attempts.",
               [](const ClassReport &Report) { return Report.extraLoad(); });
