Traffic: admit queries through the admission queue

AdmissionQueue and its AdaptiveLimit replace the fixed cap on running queries: a request above the limit waits for its turn and is refused, not run, when it would come too late.

--- a/Source/Traffic/EngineSettings.h
+++ b/Source/Traffic/EngineSettings.h
@@ -2,11 +2,11 @@
 #define ACACIACROSS_TRAFFIC_ENGINESETTINGS_H
 
 #include "Common/Identifiers.h"
+#include "Limits/AdaptiveLimitSettings.h"
 #include "Tickets/IssuerIdentity.h"
 #include "Tickets/TicketTableLimits.h"
 
 #include <chrono>
-#include <cstddef>
 #include <cstdint>
 
 namespace acaciacross::traffic {
@@ -22,8 +22,8 @@
 
   std::chrono::milliseconds TicketValidity = std::chrono::minutes(1);
   tickets::TicketTableLimits TicketLimits;
-  /// Queries that run at the same time.
-  std::size_t MaxRunning = 256;
+  /// Bounds of the queries that run at the same time.
+  limits::AdaptiveLimitSettings Admission;
 };
 
 } // namespace acaciacross::traffic
--- a/Source/Traffic/RunningQuery.h
+++ b/Source/Traffic/RunningQuery.h
@@ -10,12 +10,16 @@
 
 namespace acaciacross::traffic {
 
-/// A query that a traffic thread runs.
+/// A query that waits for its admission or runs.
 struct RunningQuery {
   TrafficRequest Request;
   std::shared_ptr<ReplySink> Sink;
   ClassState *Class = nullptr;
+  /// Null while it waits.
   std::unique_ptr<query::QueryExecution> Execution;
+  common::MonotonicTime AdmittedAt;
+  /// A searcher shed one of its attempts.
+  bool SawShed = false;
   common::MonotonicTime TimerAt;
 };
 
--- a/Source/Traffic/ServiceEngine.cpp
+++ b/Source/Traffic/ServiceEngine.cpp
@@ -9,17 +9,12 @@
 
 namespace {
 
-// A restart takes one attempt per shard from the budget.
-constexpr std::uint32_t RestartsInBudget = 2;
-constexpr std::uint32_t SmallestMaxBudget = 10;
-
-std::uint32_t maxBudgetFor(const query::ServiceView *Service) {
-  std::size_t Shards = 0;
-  if (Service)
-    for (const query::SnapshotView &Snapshot : Service->Snapshots)
-      Shards = std::max(Shards, Snapshot.Shards.size());
-  return std::max(SmallestMaxBudget,
-                  static_cast<std::uint32_t>(Shards) * RestartsInBudget);
+limits::AdmissionClass
+admissionOf(const configuration::ClassDefinition &Definition) {
+  limits::AdmissionClass Settings;
+  Settings.LatencyTarget = Definition.LatencyTarget;
+  Settings.TargetPercentile = Definition.TargetPercentile;
+  return Settings;
 }
 
 TrafficReply makeReply(query::Outcome Outcome) {
@@ -34,95 +29,70 @@
       Random(this->Settings.RandomSeed), Attempts(Sender, Time),
       Selector(this->Random),
       Ids(this->Settings.Identity.Issuer, this->Settings.FirstSequence),
-      Issuer(this->Settings.Identity, this->Settings.FirstSequence,
-             this->Settings.TicketValidity),
-      Table(this->Issuer, this->Settings.TicketLimits) {}
+      Tickets(this->Settings), Admission(this->Settings.Admission),
+      Classes(this->Settings.Service) {}
 
 void ServiceEngine::updateView(const control::ControlView &View) {
   const auto Found = View.Services.find(this->Settings.Service);
   this->Service = Found == View.Services.end() ? nullptr : Found->second;
-  this->updateClasses(View);
+  this->Classes.update(View);
+  for (const ClassState *Class : this->Classes.current())
+    this->Admission.configure(Class->Definition.Name,
+                              admissionOf(Class->Definition));
   if (!this->Service)
     return;
   this->Selector.updateView(*this->Service);
   for (auto &[Number, Query] : this->Queries)
-    Query.Execution->onViewChanged(this->Service);
-}
-
-void ServiceEngine::updateClasses(const control::ControlView &View) {
-  for (auto &[Name, Class] : this->Classes)
-    Class->IsCurrent = false;
-  const std::uint32_t MaxBudget = maxBudgetFor(this->Service.get());
-  for (const auto &[Name, Definition] : View.Classes) {
-    if (Definition.Service != this->Settings.Service)
-      continue;
-    std::unique_ptr<ClassState> &Class = this->Classes[Name];
-    if (Class)
-      Class->reconfigure(Definition, MaxBudget);
-    else
-      Class = std::make_unique<ClassState>(Definition, MaxBudget);
-  }
-}
-
-ClassState *ServiceEngine::findClass(const common::ClassName &Name) {
-  const auto Found = this->Classes.find(Name);
-  const bool IsCurrent =
-      Found != this->Classes.end() && Found->second->IsCurrent;
-  return IsCurrent ? Found->second.get() : nullptr;
+    if (Query.Execution)
+      Query.Execution->onViewChanged(this->Service);
 }
 
 void ServiceEngine::accept(TrafficRequest Request,
                            std::shared_ptr<ReplySink> Sink) {
+  const common::MonotonicTime Now = this->Ticker.monotonicNow();
   // A ticket that was used before is answered from the table, whatever else is
   // wrong with the request now.
-  if (Request.Ticket && !this->presentTicket(Request, *Sink))
-    return;
+  if (Request.Ticket) {
+    if (auto Reply = this->Tickets.present(*Request.Ticket, Now)) {
+      Sink->onReply(std::move(*Reply));
+      return;
+    }
+  }
   if (const auto Code = this->refusalOf(Request)) {
     this->refuse(Request, *Sink, *Code);
     return;
   }
-  ClassState &Class = *this->findClass(Request.Class);
-  this->run(std::move(Request), std::move(Sink), Class);
+  const std::uint64_t Number = this->NextQuery++;
+  const limits::AdmissionEntry Entry{Number, Request.Class, Request.ReceivedAt,
+                                     Request.Deadline};
+  RunningQuery &Query = this->Queries[Number];
+  Query.Class = this->Classes.find(Request.Class);
+  Query.Request = std::move(Request);
+  Query.Sink = std::move(Sink);
+  this->offer(Entry, Now);
+  this->admitWaiting();
 }
 
-bool ServiceEngine::presentTicket(const TrafficRequest &Request,
-                                  ReplySink &Sink) {
-  const auto Lookup =
-      this->Table.present(*Request.Ticket, this->Ticker.monotonicNow());
-  switch (Lookup.State) {
-  case tickets::TicketState::Accepted:
-    return true;
-  case tickets::TicketState::Finished:
-    Sink.onReply({Lookup.Stored, {}});
-    return false;
-  case tickets::TicketState::Executing:
-    Sink.onReply(
-        makeReply(query::Failure{common::ResultCode::TicketInProgress}));
-    return false;
-  case tickets::TicketState::Expired:
-    Sink.onReply(makeReply(query::Failure{common::ResultCode::TicketExpired}));
-    return false;
-  case tickets::TicketState::OwnedElsewhere: {
-    TrafficReply Reply =
-        makeReply(query::Failure{common::ResultCode::TicketOwnedElsewhere});
-    Reply.TicketOwner = Request.Ticket->Owner;
-    Sink.onReply(std::move(Reply));
-    return false;
-  }
-  case tickets::TicketState::TableFull:
-    Sink.onReply(
-        makeReply(query::Refusal{common::ResultCode::TicketTableFull}));
-    return false;
-  case tickets::TicketState::Altered:
+void ServiceEngine::offer(const limits::AdmissionEntry &Entry,
+                          common::MonotonicTime Now) {
+  switch (this->Admission.offer(Entry, Now)) {
+  case limits::AdmissionDecision::Admitted:
+    this->run(Entry.Number);
+    break;
+  case limits::AdmissionDecision::Queued:
+    break;
+  case limits::AdmissionDecision::RefusedOverloaded:
+    this->refuseWaiting(Entry.Number, common::ResultCode::Overloaded);
+    break;
+  case limits::AdmissionDecision::RefusedDeadline:
+    this->refuseWaiting(Entry.Number, common::ResultCode::DeadlineTooShort);
     break;
   }
-  Sink.onReply(makeReply(query::Refusal{common::ResultCode::TicketMalformed}));
-  return false;
 }
 
 std::optional<common::ResultCode>
 ServiceEngine::refusalOf(const TrafficRequest &Request) {
-  const ClassState *Class = this->findClass(Request.Class);
+  const ClassState *Class = this->Classes.find(Request.Class);
   if (!Class)
     return common::ResultCode::UnknownClass;
   if (!this->Service)
@@ -131,8 +101,6 @@
     return common::ResultCode::TicketMalformed;
   if (!Request.Ticket && !Class->Definition.Repeatable)
     return common::ResultCode::TicketRequired;
-  if (this->Queries.size() >= this->Settings.MaxRunning)
-    return common::ResultCode::Overloaded;
   return std::nullopt;
 }
 
@@ -140,8 +108,8 @@
                            common::ResultCode Code) {
   TrafficReply Reply = makeReply(query::Refusal{Code});
   if (Request.Ticket)
-    this->Table.finish(*Request.Ticket, Reply.Result);
-  if (ClassState *Class = this->findClass(Request.Class)) {
+    this->Tickets.finish(*Request.Ticket, Reply.Result);
+  if (ClassState *Class = this->Classes.find(Request.Class)) {
     const common::MonotonicTime Now = this->Ticker.monotonicNow();
     Class->Metrics.record(*Reply.Result, Now - Request.ReceivedAt, {}, Now);
   }
@@ -166,20 +134,40 @@
   return Query;
 }
 
-void ServiceEngine::run(TrafficRequest Request, std::shared_ptr<ReplySink> Sink,
-                        ClassState &Class) {
-  const std::uint64_t Number = this->NextQuery++;
+void ServiceEngine::refuseWaiting(std::uint64_t Number,
+                                  common::ResultCode Code) {
+  const auto Found = this->Queries.find(Number);
+  this->refuse(Found->second.Request, *Found->second.Sink, Code);
+  this->Queries.erase(Found);
+}
+
+void ServiceEngine::admitWaiting() {
+  const common::MonotonicTime Now = this->Ticker.monotonicNow();
+  for (const limits::ExpiredEntry &Expired : this->Admission.takeExpired(Now))
+    this->refuseWaiting(Expired.Entry.Number, Expired.Code);
+  // A query may end as soon as it runs and make room for the next.
+  auto Ready = this->Admission.takeReady(Now);
+  while (!Ready.empty()) {
+    for (const limits::AdmissionEntry &Entry : Ready)
+      this->run(Entry.Number);
+    Ready = this->Admission.takeReady(Now);
+  }
+}
+
+void ServiceEngine::run(std::uint64_t Number) {
+  RunningQuery &Query = this->Queries.at(Number);
   const query::QueryDependencies Used{this->Attempts, this->Selector,
-                                      Class.Hedging, Class.Budget, this->Ids};
-  RunningQuery &Query = this->Queries[Number];
+                                      Query.Class->Hedging, Query.Class->Budget,
+                                      this->Ids};
+  // The service may have left the configuration while the query waited.
+  const auto View =
+      this->Service ? this->Service : std::make_shared<query::ServiceView>();
   Query.Execution = std::make_unique<query::QueryExecution>(
-      this->makeQuery(Request, Class), this->Service, Used);
-  Query.Request = std::move(Request);
-  Query.Sink = std::move(Sink);
-  Query.Class = &Class;
-  ++Class.Running;
+      this->makeQuery(Query.Request, *Query.Class), View, Used);
+  Query.AdmittedAt = this->Ticker.monotonicNow();
+  ++Query.Class->Running;
   this->Attempts.setQuery(Number);
-  Query.Execution->start(this->Ticker.monotonicNow());
+  Query.Execution->start(Query.AdmittedAt);
   this->settle(Number);
 }
 
@@ -198,8 +186,10 @@
   Query.Class->Metrics.record(*Result, Now - Query.Request.ReceivedAt,
                               Query.Execution->statistics(), Now);
   --Query.Class->Running;
+  this->Admission.onFinished(Query.Request.Class, Now, Now - Query.AdmittedAt,
+                             Query.SawShed);
   if (Query.Request.Ticket)
-    this->Table.finish(*Query.Request.Ticket, Result);
+    this->Tickets.finish(*Query.Request.Ticket, Result);
   Query.Sink->onReply({Result, {}});
   this->Queries.erase(Found);
 }
@@ -210,10 +200,13 @@
     if (!Number)
       continue;
     this->Attempts.setQuery(*Number);
-    this->Queries.at(*Number).Execution->onAttemptEnded(
-        Ended.Result, this->Ticker.monotonicNow());
+    RunningQuery &Query = this->Queries.at(*Number);
+    if (Ended.Result.Status == query::AttemptStatus::Shed)
+      Query.SawShed = true;
+    Query.Execution->onAttemptEnded(Ended.Result, this->Ticker.monotonicNow());
     this->settle(*Number);
   }
+  this->admitWaiting();
 }
 
 void ServiceEngine::onTimers() {
@@ -229,52 +222,43 @@
     this->Queries.at(Number).Execution->onTimer(Now);
     this->settle(Number);
   }
+  this->admitWaiting();
 }
 
 std::optional<common::MonotonicTime> ServiceEngine::nextTimer() const {
-  if (this->Timers.empty())
-    return std::nullopt;
-  return this->Timers.begin()->first;
+  std::optional<common::MonotonicTime> Next = this->Admission.nextExpiry();
+  if (!this->Timers.empty())
+    Next = std::min(Next.value_or(this->Timers.begin()->first),
+                    this->Timers.begin()->first);
+  return Next;
 }
 
 TicketReply ServiceEngine::issueTicket(const common::ClassName &Class) {
-  if (!this->findClass(Class))
+  if (!this->Classes.find(Class))
     return {common::ResultCode::UnknownClass, {}, {}};
-  const common::MonotonicTime Now = this->Ticker.monotonicNow();
-  this->Table.discardOld(Now);
-  if (this->Table.isFull())
-    return {common::ResultCode::TicketTableFull, {}, {}};
-  return {common::ResultCode::Ok, this->Issuer.issue(Class, Now),
-          this->Issuer.validity()};
+  return this->Tickets.issue(Class, this->Ticker.monotonicNow());
 }
 
 void ServiceEngine::abortAll() {
   while (!this->Queries.empty()) {
-    const std::uint64_t Number = this->Queries.begin()->first;
-    this->Queries.begin()->second.Execution->abort(
-        common::ResultCode::Interrupted);
+    const auto &[Number, Query] = *this->Queries.begin();
+    if (!Query.Execution) {
+      this->refuseWaiting(Number, common::ResultCode::NotServing);
+      continue;
+    }
+    Query.Execution->abort(common::ResultCode::Interrupted);
     this->settle(Number);
   }
 }
 
-std::size_t ServiceEngine::runningCount() const { return this->Queries.size(); }
+std::size_t ServiceEngine::openCount() const { return this->Queries.size(); }
 
 std::vector<control::UpstreamEvidence> ServiceEngine::takeEvidence() {
   return this->Attempts.takeEvidence();
 }
 
 std::vector<metrics::ClassReport> ServiceEngine::reports() const {
-  std::vector<metrics::ClassReport> Reports;
-  for (const auto &[Name, Class] : this->Classes) {
-    if (!Class->IsCurrent)
-      continue;
-    metrics::ClassReport Report = Class->Metrics.report();
-    Report.Service = this->Settings.Service;
-    Report.BudgetLeft = Class->Budget.balance();
-    Report.Running = Class->Running;
-    Reports.push_back(std::move(Report));
-  }
-  return Reports;
+  return this->Classes.reports();
 }
 
 } // namespace acaciacross::traffic
--- a/Source/Traffic/ServiceEngine.h
+++ b/Source/Traffic/ServiceEngine.h
@@ -5,16 +5,16 @@
 #include "Common/SeededRandom.h"
 #include "Control/ControlView.h"
 #include "Control/UpstreamEvidence.h"
+#include "Limits/AdmissionQueue.h"
 #include "Metrics/ClassReport.h"
 #include "Query/AttemptIdSource.h"
 #include "Routing/PowerOfTwoSelector.h"
-#include "Tickets/TicketTable.h"
 #include "Traffic/AttemptRegistry.h"
+#include "Traffic/ClassTable.h"
 #include "Traffic/EngineSettings.h"
 #include "Traffic/RunningQuery.h"
-#include "Traffic/TicketReply.h"
+#include "Traffic/TicketDesk.h"
 
-#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -41,26 +41,26 @@
   /// Empty when nothing is due.
   std::optional<common::MonotonicTime> nextTimer() const;
 
-  /// Ends all running queries with what they have.
+  /// Refuses what waits and ends what runs with what it has.
   void abortAll();
-  std::size_t runningCount() const;
+  /// Queries that run or wait.
+  std::size_t openCount() const;
 
   std::vector<control::UpstreamEvidence> takeEvidence();
   std::vector<metrics::ClassReport> reports() const;
 
 private:
-  void updateClasses(const control::ControlView &View);
-  ClassState *findClass(const common::ClassName &Name);
-
-  /// True when the request may run; else it has been answered.
-  bool presentTicket(const TrafficRequest &Request, ReplySink &Sink);
   std::optional<common::ResultCode> refusalOf(const TrafficRequest &Request);
   query::QueryRequest makeQuery(const TrafficRequest &Request,
                                 const ClassState &Class) const;
-  void run(TrafficRequest Request, std::shared_ptr<ReplySink> Sink,
-           ClassState &Class);
+  void run(std::uint64_t Number);
   void refuse(const TrafficRequest &Request, ReplySink &Sink,
               common::ResultCode Code);
+  /// The same for a query that waits.
+  void refuseWaiting(std::uint64_t Number, common::ResultCode Code);
+  void offer(const limits::AdmissionEntry &Entry, common::MonotonicTime Now);
+  /// Runs or refuses what has waited.
+  void admitWaiting();
   /// After each call into an execution: answers it when it has finished, else
   /// sets its timer.
   void settle(std::uint64_t Number);
@@ -71,11 +71,11 @@
   AttemptRegistry Attempts;
   routing::PowerOfTwoSelector Selector;
   query::AttemptIdSource Ids;
-  tickets::TicketIssuer Issuer;
-  tickets::TicketTable Table;
+  TicketDesk Tickets;
+  limits::AdmissionQueue Admission;
+  ClassTable Classes;
 
   std::shared_ptr<const query::ServiceView> Service;
-  std::map<common::ClassName, std::unique_ptr<ClassState>> Classes;
   std::unordered_map<std::uint64_t, RunningQuery> Queries;
   std::set<std::pair<common::MonotonicTime, std::uint64_t>> Timers;
   std::uint64_t NextQuery = 0;
--- /dev/null
+++ b/Source/Traffic/TicketDesk.cpp
@@ -0,0 +1,60 @@
+#include "Traffic/TicketDesk.h"
+
+#include <utility>
+
+namespace acaciacross::traffic {
+
+namespace {
+
+TrafficReply makeReply(query::Outcome Outcome) {
+  return {std::make_shared<const query::Outcome>(std::move(Outcome)), {}};
+}
+
+} // namespace
+
+TicketDesk::TicketDesk(const EngineSettings &Chosen)
+    : Issuer(Chosen.Identity, Chosen.FirstSequence, Chosen.TicketValidity),
+      Table(this->Issuer, Chosen.TicketLimits) {}
+
+TicketReply TicketDesk::issue(const common::ClassName &Class,
+                              common::MonotonicTime Now) {
+  this->Table.discardOld(Now);
+  if (this->Table.isFull())
+    return {common::ResultCode::TicketTableFull, {}, {}};
+  return {common::ResultCode::Ok, this->Issuer.issue(Class, Now),
+          this->Issuer.validity()};
+}
+
+std::optional<TrafficReply>
+TicketDesk::present(const tickets::Ticket &Presented,
+                    common::MonotonicTime Now) {
+  const auto Lookup = this->Table.present(Presented, Now);
+  switch (Lookup.State) {
+  case tickets::TicketState::Accepted:
+    return std::nullopt;
+  case tickets::TicketState::Finished:
+    return TrafficReply{Lookup.Stored, {}};
+  case tickets::TicketState::Executing:
+    return makeReply(query::Failure{common::ResultCode::TicketInProgress});
+  case tickets::TicketState::Expired:
+    return makeReply(query::Failure{common::ResultCode::TicketExpired});
+  case tickets::TicketState::OwnedElsewhere: {
+    TrafficReply Reply =
+        makeReply(query::Failure{common::ResultCode::TicketOwnedElsewhere});
+    Reply.TicketOwner = Presented.Owner;
+    return Reply;
+  }
+  case tickets::TicketState::TableFull:
+    return makeReply(query::Refusal{common::ResultCode::TicketTableFull});
+  case tickets::TicketState::Altered:
+    break;
+  }
+  return makeReply(query::Refusal{common::ResultCode::TicketMalformed});
+}
+
+void TicketDesk::finish(const tickets::Ticket &Executed,
+                        std::shared_ptr<const query::Outcome> Outcome) {
+  this->Table.finish(Executed, std::move(Outcome));
+}
+
+} // namespace acaciacross::traffic
--- a/Source/Traffic/TrafficWorker.cpp
+++ b/Source/Traffic/TrafficWorker.cpp
@@ -82,7 +82,7 @@
 }
 
 bool TrafficWorker::isOver() const {
-  return this->IsStopping && (this->Engine.runningCount() == 0 ||
+  return this->IsStopping && (this->Engine.openCount() == 0 ||
                               this->Ticker.monotonicNow() >= this->StopAt);
 }
 
