LoadGenerator: open-loop load tool

acaciacross-load sends a seeded mix of classes at a fixed rate through the addresses that the system gives, and measures latency from the intended send time, so that slow answers do not hide the wait of the requests behind them.

--- /dev/null
+++ b/Source/Programs/LoadGenerator/ArrivalSchedule.h
@@ -0,0 +1,32 @@
+#ifndef ACACIACROSS_PROGRAMS_LOADGENERATOR_ARRIVALSCHEDULE_H
+#define ACACIACROSS_PROGRAMS_LOADGENERATOR_ARRIVALSCHEDULE_H
+
+#include "Programs/LoadGenerator/Arrival.h"
+#include "Programs/LoadGenerator/LoadSettings.h"
+
+#include <optional>
+#include <random>
+
+namespace acaciacross::loadgenerator {
+
+/// Poisson arrivals, independent of the answers (open loop); the same for the
+/// same seed.
+class ArrivalSchedule {
+public:
+  explicit ArrivalSchedule(const LoadSettings &Settings);
+
+  /// Empty when the time or the number of requests is used up.
+  std::optional<Arrival> next();
+
+private:
+  std::mt19937_64 Engine;
+  std::exponential_distribution<double> GapSeconds;
+  std::discrete_distribution<std::size_t> ClassIndex;
+  std::chrono::microseconds Duration;
+  std::uint64_t Left;
+  std::chrono::duration<double> Elapsed{0};
+};
+
+} // namespace acaciacross::loadgenerator
+
+#endif
--- /dev/null
+++ b/Source/Programs/LoadGenerator/CallerAnswer.h
@@ -0,0 +1,17 @@
+#ifndef ACACIACROSS_PROGRAMS_LOADGENERATOR_CALLERANSWER_H
+#define ACACIACROSS_PROGRAMS_LOADGENERATOR_CALLERANSWER_H
+
+#include <optional>
+#include <string>
+
+namespace acaciacross::loadgenerator {
+
+/// What the report needs of a reply to POST /v1/query.
+struct CallerAnswer {
+  std::string Outcome;
+  double Coverage = 0.0;
+};
+
+} // namespace acaciacross::loadgenerator
+
+#endif
--- a/Source/StandIns/Platform/ChangeLog.cpp
+++ b/Source/StandIns/Platform/ChangeLog.cpp
@@ -37,6 +37,7 @@
   for (std::size_t I = 0; I < Latest; ++I)
     LastOfKey[this->Entries[I].Key] = I;
   std::vector<ChangeEntry> Current;
+  Current.reserve(LastOfKey.size());
   for (const auto &[Key, Index] : LastOfKey)
     Current.push_back(this->Entries[Index]);
   std::ranges::sort(Current, {}, &ChangeEntry::Revision);
