--- a/Source/Programs/OperatorCli/ExitStatus.h
+++ b/Source/Programs/OperatorCli/ExitStatus.h
@@ -9,6 +9,7 @@
   Usage = 2,
   DocumentInvalid = 3,
   FileUnreadable = 4,
+  VmUnreachable = 5,
 };
 
 } // namespace acaciacross::operatorcli
--- a/Source/Programs/OperatorCli/Program/main.cpp
+++ b/Source/Programs/OperatorCli/Program/main.cpp
@@ -1,35 +1,90 @@
 #include "Programs/OperatorCli/CheckReport.h"
 #include "Programs/OperatorCli/DocumentCheck.h"
+#include "Programs/OperatorCli/PageFetch.h"
+#include "Programs/OperatorCli/PageTables.h"
 
 #include <gflags/gflags.h>
 
 #include <iostream>
+#include <map>
 
 DEFINE_bool(json, false, "output as JSON");
+DEFINE_string(entry, "127.0.0.1:7101", "entry VM that is asked");
+DEFINE_uint64(after, 0, "audit: entries with a higher sequence number");
 
 namespace acaciacross::operatorcli {
 
 namespace {
 
+constexpr std::chrono::milliseconds FetchTimeout{2'000};
+
 constexpr const char *Usage =
-    "checks documents of acaciacross\n"
+    "for operators of acaciacross\n"
     "  acaciacross-ctl check [--json] FILE...\n"
     "    classes.toml and service-<name>.toml are checked as published\n"
     "    documents, other files as settings of an entry VM; nothing is sent\n"
-    "exit status: 0 all valid, 2 wrong use, 3 a file is not valid, 4 a file\n"
-    "cannot be read";
+    "  acaciacross-ctl classes|fleet|upstreams|config [--entry=A] [--json]\n"
+    "    targets and results of classes, entry VMs in address answers,\n"
+    "    searchers, revision in effect; --json prints the whole status page\n"
+    "  acaciacross-ctl audit [--entry=A] [--after=N] [--json]\n"
+    "exit status: 0 done or all valid, 2 wrong use, 3 a file is not valid,\n"
+    "4 a file cannot be read, 5 the entry VM gave no usable answer";
 
-int run(const std::vector<std::string> &Arguments) {
-  if (Arguments.size() < 2 || Arguments.front() != "check") {
-    std::cerr << "acaciacross-ctl: " << Usage << '\n';
-    return static_cast<int>(ExitStatus::Usage);
-  }
+using Renderer = std::optional<std::string> (*)(const std::string &);
+
+const std::map<std::string, Renderer> &pageCommands() {
+  static const std::map<std::string, Renderer> Commands = {
+      {"classes", PageTables::classes},     {"fleet", PageTables::fleet},
+      {"upstreams", PageTables::upstreams}, {"config", PageTables::config},
+      {"audit", PageTables::audit},
+  };
+  return Commands;
+}
+
+ExitStatus refuseUse(const std::string &Problem) {
+  std::cerr << "acaciacross-ctl: " << Problem << '\n';
+  return ExitStatus::Usage;
+}
+
+ExitStatus check(const std::vector<std::string> &Files) {
+  if (Files.empty())
+    return refuseUse("check: no file is named");
   std::vector<CheckResult> Results;
-  for (std::size_t I = 1; I < Arguments.size(); ++I)
-    Results.push_back(DocumentCheck::run(Arguments[I]));
+  Results.reserve(Files.size());
+  for (const std::string &File : Files)
+    Results.push_back(DocumentCheck::run(File));
   std::cout << (FLAGS_json ? CheckReport::json(Results)
                            : CheckReport::text(Results));
-  return static_cast<int>(CheckReport::status(Results));
+  return CheckReport::status(Results);
+}
+
+ExitStatus showPage(const std::string &Command, Renderer Render) {
+  const auto Vm = common::Address::parse(FLAGS_entry);
+  if (!Vm)
+    return refuseUse("--entry=" + FLAGS_entry + ": a.b.c.d:port is allowed");
+  const std::string Path =
+      Command == "audit" ? "/v1/audit?after=" + std::to_string(FLAGS_after)
+                         : "/v1/status";
+  const auto Page = PageFetch::get(*Vm, Path, FetchTimeout);
+  const auto Text = Page && !FLAGS_json ? Render(*Page) : Page;
+  if (!Text) {
+    std::cerr << "acaciacross-ctl: no usable answer from " << FLAGS_entry
+              << Path << '\n';
+    return ExitStatus::VmUnreachable;
+  }
+  std::cout << *Text << (FLAGS_json ? "\n" : "");
+  return ExitStatus::Ok;
+}
+
+ExitStatus run(const std::vector<std::string> &Arguments) {
+  if (Arguments.empty())
+    return refuseUse(Usage);
+  if (Arguments.front() == "check")
+    return check({Arguments.begin() + 1, Arguments.end()});
+  const auto Found = pageCommands().find(Arguments.front());
+  if (Found == pageCommands().end() || Arguments.size() > 1)
+    return refuseUse(Usage);
+  return showPage(Found->first, Found->second);
 }
 
 } // namespace
@@ -39,6 +94,6 @@
 int main(int ArgumentCount, char **Arguments) {
   gflags::SetUsageMessage(acaciacross::operatorcli::Usage);
   gflags::ParseCommandLineFlags(&ArgumentCount, &Arguments, true);
-  return acaciacross::operatorcli::run(
-      {Arguments + 1, Arguments + ArgumentCount});
+  return static_cast<int>(acaciacross::operatorcli::run(
+      {Arguments + 1, Arguments + ArgumentCount}));
 }
