Limits: avoid capturing a structured binding in a lambda

clang 14 rejects the capture of a structured binding, so clang-tidy failed on the file. The lambda gets a reference under a name of its own; no change of behaviour.

--- a/Source/Limits/AdmissionQueue.cpp
+++ b/Source/Limits/AdmissionQueue.cpp
@@ -90,7 +90,8 @@
 }
 
 void AdmissionQueue::expire(common::MonotonicTime Now) {
-  for (auto &[Name, Queue] : this->Queues) {
+  for (auto &Named : this->Queues) {
+    ClassQueue &Queue = Named.second;
     const auto IsExpired = [&](const AdmissionEntry &Entry) {
       return Now >= this->expiryOf(Queue, Entry);
     };
