Limits: Tolerate few shed attempts, and keep budget for retries

Change: the limit changes once per 16 queries, and falls when more than half of the smallest extra-load target was shed, which is what retries can pay for. Hedges leave half of the budget's cap to retries (LoadBudget:: tryWithdrawForHedge). The admission queue estimates waits from the measured rate, and a wait of up to a third of the target is allowed even when executions take as long as the target. QueryStatistics counts shed attempts and adds up.

--- a/Source/Limits/AdaptiveLimit.cpp
+++ b/Source/Limits/AdaptiveLimit.cpp
@@ -6,17 +6,17 @@
 
 namespace {
 
-// One more query after about four rounds in which the limit was used up.
-constexpr double IncreasePerRound = 0.25;
+// A query has an attempt on every shard, so that 16 queries show a shed part of
+// a few percent. Changing the limit more often would react to the same overload
+// several times.
+constexpr std::uint32_t RoundSize = 16;
 
+constexpr double StartFactor = 1.5;
+constexpr double Increase = 0.25;
 // Gentle, because a limit of 2 on each of 9 VMs is near what 60 slots can take,
 // and halving it would leave slots idle.
 constexpr double DecreaseFactor = 0.85;
 
-// Long enough to forget old load quickly, short enough for a stable median.
-constexpr std::uint32_t WindowSamples = 50;
-constexpr std::uint32_t FinishedPerMeasure = 10;
-
 // The lowest median counts for one to two of these periods. A service that has
 // become slower for good is not taken for a loaded one for longer.
 constexpr std::chrono::minutes RotationPeriod{5};
@@ -26,38 +26,46 @@
 } // namespace
 
 AdaptiveLimit::AdaptiveLimit(AdaptiveLimitSettings Bounds)
-    : Bounds(Bounds), Latencies(WindowSamples) {}
+    : Bounds(Bounds), Latencies(RoundSize) {}
 
 std::uint32_t AdaptiveLimit::value() const {
   return static_cast<std::uint32_t>(this->Limit);
 }
 
 void AdaptiveLimit::onFinished(common::MonotonicTime Now,
-                               std::chrono::nanoseconds Latency, bool SawShed,
-                               bool IsUsedUp) {
+                               std::chrono::nanoseconds Latency,
+                               double ShedPart, bool IsUsedUp) {
   this->Latencies.add(Latency);
-  if (++this->FinishedSinceMeasure >= FinishedPerMeasure)
-    this->measure(Now);
-  if (SawShed || this->queueingDelay() > this->Bounds.ToleratedDelay) {
-    this->decrease(Now);
-    return;
-  }
-  // A limit that rises while it is not used would let a later burst through.
-  if (!IsUsedUp)
-    return;
-  const double Max = std::max<std::uint32_t>(this->Bounds.Max, 1);
-  this->Limit = std::min(this->Limit + IncreasePerRound / this->Limit, Max);
+  this->ShedInRound += ShedPart;
+  this->UsedUpInRound += IsUsedUp ? 1 : 0;
+  if (++this->FinishedInRound == RoundSize)
+    this->endRound(Now);
 }
 
 std::chrono::nanoseconds AdaptiveLimit::queueingDelay() const {
-  if (!this->Median || !this->LowestNow)
+  if (!this->Median)
     return std::chrono::nanoseconds(0);
-  return *this->Median -
-         std::min(*this->LowestNow, this->LowestBefore.value_or(*this->Median));
+  const std::chrono::nanoseconds Lowest =
+      std::min(this->LowestNow.value_or(*this->Median),
+               this->LowestBefore.value_or(*this->Median));
+  return *this->Median - Lowest;
+}
+
+void AdaptiveLimit::endRound(common::MonotonicTime Now) {
+  this->measureDelay(Now);
+  const bool IsOverloaded =
+      this->ShedInRound > this->Bounds.ToleratedShedPart * RoundSize ||
+      this->queueingDelay() > this->Bounds.ToleratedDelay;
+  if (IsOverloaded)
+    this->decrease();
+  else if (this->UsedUpInRound * 2 >= RoundSize)
+    this->increase();
+  this->FinishedInRound = 0;
+  this->UsedUpInRound = 0;
+  this->ShedInRound = 0.0;
 }
 
-void AdaptiveLimit::measure(common::MonotonicTime Now) {
-  this->FinishedSinceMeasure = 0;
+void AdaptiveLimit::measureDelay(common::MonotonicTime Now) {
   this->Median = this->Latencies.quantile(MedianFraction);
   if (Now >= this->NextRotationAt) {
     this->LowestBefore = this->LowestNow;
@@ -68,13 +76,17 @@
       std::min(this->LowestNow.value_or(*this->Median), *this->Median);
 }
 
-void AdaptiveLimit::decrease(common::MonotonicTime Now) {
-  if (Now < this->NextDecreaseAt)
-    return;
+// Only called while the limit is used up: one that rises in quiet hours would
+// let the next burst through.
+void AdaptiveLimit::increase() {
+  const double Raised =
+      this->IsStarting ? this->Limit * StartFactor : this->Limit + Increase;
+  this->Limit = std::min<double>(Raised, std::max(this->Bounds.Max, 1U));
+}
+
+void AdaptiveLimit::decrease() {
+  this->IsStarting = false;
   this->Limit = std::max(this->Limit * DecreaseFactor, 1.0);
-  // Queries that were already running show the same overload once more.
-  this->NextDecreaseAt =
-      Now + this->Median.value_or(this->Bounds.ToleratedDelay);
 }
 
 } // namespace acaciacross::limits
--- a/Source/Limits/AdaptiveLimit.h
+++ b/Source/Limits/AdaptiveLimit.h
@@ -17,23 +17,29 @@
 
   /// At least 1 and at most the maximum.
   std::uint32_t value() const;
-  /// Told of each finished query. SawShed: a searcher shed one of its attempts.
-  /// IsUsedUp: as many queries were running as the limit allows.
+  /// Told of each finished query. ShedPart: part of its attempts that searchers
+  /// shed. IsUsedUp: as many queries were running as the limit allows.
   void onFinished(common::MonotonicTime Now, std::chrono::nanoseconds Latency,
-                  bool SawShed, bool IsUsedUp);
+                  double ShedPart, bool IsUsedUp);
   /// Recent median latency less the lowest one of the last minutes.
   std::chrono::nanoseconds queueingDelay() const;
 
 private:
-  void measure(common::MonotonicTime Now);
-  void decrease(common::MonotonicTime Now);
+  void endRound(common::MonotonicTime Now);
+  void measureDelay(common::MonotonicTime Now);
+  void increase();
+  void decrease();
 
   AdaptiveLimitSettings Bounds;
   double Limit = 1.0;
-  common::MonotonicTime NextDecreaseAt;
+  /// Nothing has shown yet how much is too much.
+  bool IsStarting = true;
+
+  std::uint32_t FinishedInRound = 0;
+  std::uint32_t UsedUpInRound = 0;
+  double ShedInRound = 0.0;
 
   retries::LatencyQuantile Latencies;
-  std::uint32_t FinishedSinceMeasure = 0;
   std::optional<std::chrono::nanoseconds> Median;
   std::optional<std::chrono::nanoseconds> LowestNow;
   std::optional<std::chrono::nanoseconds> LowestBefore;
--- a/Source/Limits/AdmissionQueue.cpp
+++ b/Source/Limits/AdmissionQueue.cpp
@@ -11,14 +11,18 @@
 constexpr std::uint32_t FinishedPerMeasure = 10;
 constexpr double MedianFraction = 0.5;
 
-// When the searchers alone take as long as the target, a short wait still evens
-// out bursts.
-constexpr int SmallestWaitDivisor = 10;
+// When the slowest executions alone take as long as the target, refusing all
+// that wait would not make them faster; a wait of a third still evens out
+// bursts.
+constexpr int SmallestWaitDivisor = 3;
 
 // The expected wait rests on averages; a request that is expected to use up
 // half of its longest wait seldom uses up all of it.
 constexpr int ExpectedWaitDivisor = 2;
 
+// Weight of the newest interval in the mean one.
+constexpr int DrainSmoothing = 32;
+
 void measure(ClassQueue &Queue) {
   Queue.FinishedSinceMeasure = 0;
   Queue.TypicalLatency = *Queue.Latencies.quantile(MedianFraction);
@@ -58,10 +62,11 @@
 void AdmissionQueue::onFinished(const common::ClassName &Class,
                                 common::MonotonicTime Now,
                                 std::chrono::nanoseconds Latency,
-                                bool SawShed) {
+                                double ShedPart) {
   const bool IsUsedUp = this->Running >= this->Limit.value();
   this->Running = this->Running > 0 ? this->Running - 1 : 0;
-  this->Limit.onFinished(Now, Latency, SawShed, IsUsedUp);
+  this->Limit.onFinished(Now, Latency, ShedPart, IsUsedUp);
+  this->measureDrain(Now);
   ClassQueue &Queue = this->Queues.at(Class.Value);
   Queue.Latencies.add(Latency);
   if (++Queue.FinishedSinceMeasure >= FinishedPerMeasure)
@@ -146,19 +151,35 @@
   return std::max(Target - Queue.HighLatency, Target / SmallestWaitDivisor);
 }
 
-// The queries ahead of a new one, at the rate of the limit per typical latency
-// and the class's part of it.
+// Ahead of a new request are those of its class, and of each other class at
+// most as many as its weight gives it meanwhile.
 std::chrono::nanoseconds
 AdmissionQueue::expectedWait(const ClassQueue &Queue) const {
-  double Weights = Queue.Waiting.empty() ? Queue.Settings.Weight : 0.0;
-  for (const auto &[Name, Other] : this->Queues)
-    if (!Other.Waiting.empty())
-      Weights += Other.Settings.Weight;
-  const double Ahead = static_cast<double>(Queue.Waiting.size() + 1) * Weights /
-                       Queue.Settings.Weight;
-  const double Rounds = Ahead / this->Limit.value();
-  return std::chrono::nanoseconds(static_cast<std::int64_t>(
-      Rounds * static_cast<double>(Queue.TypicalLatency.count())));
+  const auto Turns = static_cast<double>(Queue.Waiting.size() + 1);
+  double Ahead = Turns;
+  for (const auto &[Name, Other] : this->Queues) {
+    if (&Other == &Queue)
+      continue;
+    const double Share = Other.Settings.Weight / Queue.Settings.Weight;
+    Ahead += std::min(static_cast<double>(Other.Waiting.size()), Turns * Share);
+  }
+  const std::chrono::nanoseconds Interval =
+      this->DrainInterval.value_or(Queue.TypicalLatency / this->Limit.value());
+  return std::chrono::nanoseconds(
+      static_cast<std::int64_t>(Ahead * static_cast<double>(Interval.count())));
+}
+
+// The limit and the latencies change too often to tell the rate from them.
+void AdmissionQueue::measureDrain(common::MonotonicTime Now) {
+  if (this->DrainingSince) {
+    const std::chrono::nanoseconds Last = Now - *this->DrainingSince;
+    const std::chrono::nanoseconds Mean = this->DrainInterval.value_or(Last);
+    this->DrainInterval = Mean + (Last - Mean) / DrainSmoothing;
+  }
+  if (this->queued() > 0)
+    this->DrainingSince = Now;
+  else
+    this->DrainingSince.reset();
 }
 
 common::MonotonicTime
--- a/Source/Limits/AdmissionQueue.h
+++ b/Source/Limits/AdmissionQueue.h
@@ -26,8 +26,9 @@
   AdmissionDecision offer(const AdmissionEntry &Entry,
                           common::MonotonicTime Now);
   /// An admitted query has ended; Latency is counted from its admission.
+  /// ShedPart: part of its attempts that searchers shed.
   void onFinished(const common::ClassName &Class, common::MonotonicTime Now,
-                  std::chrono::nanoseconds Latency, bool SawShed);
+                  std::chrono::nanoseconds Latency, double ShedPart);
   /// Requests that run now. To be called after onFinished and takeExpired.
   std::vector<AdmissionEntry> takeReady(common::MonotonicTime Now);
   /// Requests that have waited too long.
@@ -46,6 +47,7 @@
   std::chrono::nanoseconds expectedWait(const ClassQueue &Queue) const;
   common::MonotonicTime expiryOf(const ClassQueue &Queue,
                                  const AdmissionEntry &Entry) const;
+  void measureDrain(common::MonotonicTime Now);
   void charge(ClassQueue &Queue);
   void expire(common::MonotonicTime Now);
   ClassQueue *nextQueue();
@@ -55,6 +57,9 @@
   /// Left their queues, but were not handed over yet.
   std::vector<ExpiredEntry> Expired;
   std::uint32_t Running = 0;
+  /// Mean time between ends of queries while requests wait.
+  std::optional<std::chrono::nanoseconds> DrainInterval;
+  std::optional<common::MonotonicTime> DrainingSince;
   /// Virtual time of the class that was served last.
   double VirtualNow = 0.0;
 };
--- a/Source/Limits/ExtraLoadBudget.cpp
+++ b/Source/Limits/ExtraLoadBudget.cpp
@@ -40,6 +40,14 @@
   return true;
 }
 
+// Hedges only shorten the wait for a reply, while a shard whose attempt was
+// lost or shed is missing without a retry. Under overload both are wanted most,
+// and hedges would leave nothing for retries.
+bool ExtraLoadBudget::tryWithdrawForHedge() {
+  const std::uint64_t Reserve = this->MaxUnits / 2;
+  return this->Units >= UnitsPerAttempt + Reserve && this->tryWithdraw(1);
+}
+
 void ExtraLoadBudget::reconfigure(double ExtraLoadTarget,
                                   std::uint32_t MaxBalance) {
   const std::uint64_t Before = this->Deposit;
--- a/Source/Limits/ExtraLoadBudget.h
+++ b/Source/Limits/ExtraLoadBudget.h
@@ -17,6 +17,7 @@
 
   void onFirstAttempt() override;
   bool tryWithdraw(std::uint32_t Count) override;
+  bool tryWithdrawForHedge() override;
 
   /// Applies changed targets to later deposits. A lower target empties the
   /// budget.
--- a/Source/Query/LoadBudget.h
+++ b/Source/Query/LoadBudget.h
@@ -15,6 +15,9 @@
   /// Takes all of Count extra attempts from the budget, or none and returns
   /// false.
   virtual bool tryWithdraw(std::uint32_t Count) = 0;
+  /// Takes one extra attempt for a hedge, unless that would leave too little
+  /// for retries.
+  virtual bool tryWithdrawForHedge() = 0;
 };
 
 } // namespace acaciacross::query
--- a/Source/Query/QueryExecution.cpp
+++ b/Source/Query/QueryExecution.cpp
@@ -258,7 +258,7 @@
   const std::optional<std::uint32_t> Replica =
       this->Dependencies.Replicas.select(
           *this->Service, this->snapshot().Shards[Shard], Excluded);
-  if (!Replica || !this->Dependencies.Budget.tryWithdraw(1)) {
+  if (!Replica || !this->Dependencies.Budget.tryWithdrawForHedge()) {
     Progress.HedgeAt = Now + RetryBackoff;
     return;
   }
--- a/Source/Query/QueryStatistics.h
+++ b/Source/Query/QueryStatistics.h
@@ -18,6 +18,8 @@
   std::uint32_t CancelledAttempts = 0;
   std::uint32_t DiscardedReplies = 0;
   std::uint32_t Restarts = 0;
+
+  QueryStatistics &operator+=(const QueryStatistics &Other);
 };
 
 } // namespace acaciacross::query
--- a/Source/TestSupport/QueryRunner.cpp
+++ b/Source/TestSupport/QueryRunner.cpp
@@ -61,6 +61,13 @@
     Run->Execution.onViewChanged(Newest);
 }
 
+query::QueryStatistics QueryRunner::runningStatistics() const {
+  query::QueryStatistics Sum;
+  for (const auto &[Number, Run] : this->Runs)
+    Sum += Run->Execution.statistics();
+  return Sum;
+}
+
 void QueryRunner::start(const query::AttemptSpec &Spec) {
   this->RunOfAttempt.emplace(Spec.Id, this->Current);
   this->Runs.at(this->Current)->Attempts.push_back(Spec.Id);
--- a/Source/TestSupport/QueryRunner.h
+++ b/Source/TestSupport/QueryRunner.h
@@ -34,6 +34,9 @@
   /// Gives the newest view to all running queries.
   void onViewChanged(const std::shared_ptr<const query::ServiceView> &Newest);
 
+  /// Work of the queries that were not finished and forgotten.
+  query::QueryStatistics runningStatistics() const;
+
   void start(const query::AttemptSpec &Spec) override;
   void cancel(const common::AttemptId &Id) override;
 
--- a/Source/UnitTests/Limits/AdaptiveLimitTest.cpp
+++ b/Source/UnitTests/Limits/AdaptiveLimitTest.cpp
@@ -8,10 +8,10 @@
 
 class AdaptiveLimitTest : public testing::Test {
 protected:
-  void finish(int Count, milliseconds Latency, bool SawShed, bool IsUsedUp) {
+  void finish(int Count, milliseconds Latency, double ShedPart, bool IsUsedUp) {
     for (int I = 0; I < Count; ++I) {
       this->Now += milliseconds(10);
-      this->Limit.onFinished(this->Now, Latency, SawShed, IsUsedUp);
+      this->Limit.onFinished(this->Now, Latency, ShedPart, IsUsedUp);
     }
   }
 
@@ -21,28 +21,36 @@
 
 TEST_F(AdaptiveLimitTest, UsedUpLimitRisesToItsMaximum) {
   EXPECT_EQ(this->Limit.value(), 1U);
-  this->finish(1'000, milliseconds(5), false, true);
+  this->finish(1'000, milliseconds(5), 0.0, true);
   EXPECT_EQ(this->Limit.value(), 8U);
 }
 
 // A limit that rises in quiet hours would not limit the next burst.
 TEST_F(AdaptiveLimitTest, UnusedLimitDoesNotRise) {
-  this->finish(1'000, milliseconds(5), false, false);
+  this->finish(1'000, milliseconds(5), 0.0, false);
   EXPECT_EQ(this->Limit.value(), 1U);
 }
 
 TEST_F(AdaptiveLimitTest, ShedRepliesLowerTheLimitButNeverBelowOne) {
-  this->finish(1'000, milliseconds(5), false, true);
-  this->finish(5, milliseconds(5), true, true);
+  this->finish(1'000, milliseconds(5), 0.0, true);
+  this->finish(64, milliseconds(5), 0.5, true);
   EXPECT_LT(this->Limit.value(), 5U);
-  this->finish(1'000, milliseconds(5), true, true);
+  EXPECT_GT(this->Limit.value(), 1U);
+  this->finish(1'000, milliseconds(5), 0.5, true);
   EXPECT_EQ(this->Limit.value(), 1U);
 }
 
+// A retry for each of a few shed attempts is within the extra-load target; a
+// limit that falls on every one leaves slots idle.
+TEST_F(AdaptiveLimitTest, ToleratedPartOfShedAttemptsDoesNotLowerTheLimit) {
+  this->finish(1'000, milliseconds(5), 0.02, true);
+  EXPECT_EQ(this->Limit.value(), 8U);
+}
+
 // Searchers with long queues shed late; by then every answer is late.
 TEST_F(AdaptiveLimitTest, QueueingDelayAboveTheToleratedOneLowersTheLimit) {
-  this->finish(1'000, milliseconds(5), false, true);
-  this->finish(200, milliseconds(40), false, true);
+  this->finish(1'000, milliseconds(5), 0.0, true);
+  this->finish(200, milliseconds(40), 0.0, true);
   EXPECT_EQ(this->Limit.value(), 1U);
 }
 
--- a/Source/UnitTests/Limits/AdmissionQueueTest.cpp
+++ b/Source/UnitTests/Limits/AdmissionQueueTest.cpp
@@ -22,7 +22,7 @@
 
   /// Ends the running query and returns the class of the next one.
   std::string next(const std::string &Class, milliseconds Latency) {
-    this->Queue.onFinished(common::ClassName(Class), this->Now, Latency, true);
+    this->Queue.onFinished(common::ClassName(Class), this->Now, Latency, 0.5);
     const auto Ready = this->Queue.takeReady(this->Now);
     return Ready.empty() ? "" : Ready.front().Class.Value;
   }
--- a/Source/UnitTests/Limits/ExtraLoadBudgetTest.cpp
+++ b/Source/UnitTests/Limits/ExtraLoadBudgetTest.cpp
@@ -40,6 +40,14 @@
   EXPECT_EQ(this->Budget.balance(), 10U);
 }
 
+// Hedges that spend everything leave shards with shed attempts missing.
+TEST_F(ExtraLoadBudgetTest, HedgesLeaveHalfOfTheCapToRetries) {
+  this->depositTimes(120);
+  EXPECT_TRUE(this->Budget.tryWithdrawForHedge());
+  EXPECT_FALSE(this->Budget.tryWithdrawForHedge());
+  EXPECT_TRUE(this->Budget.tryWithdraw(5));
+}
+
 TEST_F(ExtraLoadBudgetTest, DecimalTargetLosesNothingToRounding) {
   ExtraLoadBudget Decimal(0.29, 100);
   for (int I = 0; I < 100; ++I)
