--- a/Source/Routing/PowerOfTwoSelector.cpp
+++ b/Source/Routing/PowerOfTwoSelector.cpp
@@ -15,8 +15,11 @@
 constexpr double SmallestShare = 0.01;
 
 // Random draws find a usable replica in constant time as long as most are
-// usable; after this many misses the list is scanned.
-constexpr int RandomDraws = 4;
+// usable; after this many misses the list is scanned. The longer the list, the
+// more draws are cheaper than a scan.
+constexpr std::size_t FewestDraws = 4;
+constexpr std::size_t MostDraws = 16;
+constexpr std::size_t ReplicasPerDraw = 8;
 
 float costPerAttempt(const query::SearcherView &Searcher) {
   const double Capacity = std::max<std::uint32_t>(Searcher.Slots, 1) *
@@ -105,7 +108,9 @@
                          std::optional<std::uint32_t> Other) {
   if (Shard.Replicas.empty())
     return std::nullopt;
-  for (int Draw = 0; Draw < RandomDraws; ++Draw) {
+  const std::size_t Draws = std::clamp(Shard.Replicas.size() / ReplicasPerDraw,
+                                       FewestDraws, MostDraws);
+  for (std::size_t Draw = 0; Draw < Draws; ++Draw) {
     const std::uint32_t Position =
         Shard.Replicas[this->Random.below(Shard.Replicas.size())];
     if (Position != Other && this->isEligible(Service, Position, Excluded))
