Benchmarks: Measure hedging, brownout, overload and replica choice

Cause: the targets for tails, extra load and overload need a check with the same verdict on every run.

Tools/bench compares with Source/Benchmarks/bounds.txt, whose bounds come from the targets, and fails on a violation.

--- /dev/null
+++ b/Source/Benchmarks/BoundsFile.h
@@ -0,0 +1,30 @@
+#ifndef ACACIACROSS_BENCHMARKS_BOUNDSFILE_H
+#define ACACIACROSS_BENCHMARKS_BOUNDSFILE_H
+
+#include "Benchmarks/Bound.h"
+#include "Benchmarks/Measurement.h"
+
+#include <string>
+#include <vector>
+
+namespace acaciacross::benchmarks {
+
+/// The bounds that measurements are held to, one a line: name, "<=" or ">=",
+/// limit. "#" starts a comment.
+class BoundsFile {
+public:
+  /// Throws common::Error (SettingInvalid) when the file can't be read or a
+  /// line is not a bound.
+  explicit BoundsFile(const std::string &Path);
+
+  /// Prints each measurement with its bound. False when one is violated or a
+  /// bound has no measurement.
+  bool check(const std::vector<Measurement> &Measured) const;
+
+private:
+  std::vector<Bound> Bounds;
+};
+
+} // namespace acaciacross::benchmarks
+
+#endif
--- /dev/null
+++ b/Source/Benchmarks/OverloadBenchmark.cpp
@@ -0,0 +1,114 @@
+#include "Benchmarks/OverloadBenchmark.h"
+
+#include "Benchmarks/Percentile.h"
+
+#include <string>
+#include <unordered_set>
+
+namespace acaciacross::benchmarks {
+
+namespace {
+
+constexpr std::size_t VmCount = 9;
+constexpr double Shards = 10.0;
+constexpr double Overload = 2.0;
+constexpr double SecondClassPart = 0.1;
+constexpr std::chrono::seconds Duration{20};
+// The limits of fresh VMs start at 1.
+constexpr std::chrono::seconds WarmUp{1};
+
+BenchClass makeClass(const char *Name, std::chrono::milliseconds Target) {
+  BenchClass Made;
+  Made.Definition.Name = common::ClassName(Name);
+  Made.Definition.LatencyTarget = Target;
+  Made.Definition.TargetPercentile = 99.0;
+  Made.Definition.CoverageTarget = 0.99;
+  Made.Definition.ExtraLoadTarget = 0.05;
+  return Made;
+}
+
+bool isUseful(const AnswerRecord &Answer, const BenchClass &Class) {
+  return Answer.Class == Class.Definition.Name &&
+         Answer.Coverage >= Class.Definition.CoverageTarget &&
+         Answer.Latency <= Class.Definition.LatencyTarget;
+}
+
+} // namespace
+
+std::vector<Measurement> OverloadBenchmark::run() {
+  const BenchClass Plots =
+      makeClass("crew-plots", std::chrono::milliseconds(80));
+  const BenchClass Orders =
+      makeClass("buyer-orders", std::chrono::milliseconds(150));
+  testsupport::FakeSearcherSettings Settings;
+  Settings.QueueLimit = 4;
+  BenchFleet Fleet(VmCount, {Plots, Orders}, Settings);
+  const double QueryCapacity = Fleet.capacity() / Shards;
+  const double Offered = QueryCapacity * Overload;
+  Fleet.arrive(Plots.Definition.Name, Offered * (1.0 - SecondClassPart),
+               Duration, true);
+  Fleet.arrive(Orders.Definition.Name, Offered * SecondClassPart, Duration,
+               true);
+  const common::MonotonicTime From = Fleet.events().now() + WarmUp;
+  Fleet.events().runAll();
+
+  double Useful = 0.0;
+  double UsefulOrders = 0.0;
+  double OfferedOrders = 0.0;
+  double Refused = 0.0;
+  double RefusedOrders = 0.0;
+  double Partial = 0.0;
+  double Accepted = 0.0;
+  std::vector<std::chrono::nanoseconds> PlotLatencies;
+  std::vector<std::chrono::nanoseconds> OrderLatencies;
+  for (const AnswerRecord &Each : Fleet.answers()) {
+    if (Each.Arrived < From)
+      continue;
+    const bool IsOrder = Each.Class == Orders.Definition.Name;
+    OfferedOrders += IsOrder ? 1.0 : 0.0;
+    UsefulOrders += isUseful(Each, Orders) ? 1.0 : 0.0;
+    Useful += isUseful(Each, Plots) || isUseful(Each, Orders) ? 1.0 : 0.0;
+    Refused += Each.IsRefused ? 1.0 : 0.0;
+    RefusedOrders += IsOrder && Each.IsRefused ? 1.0 : 0.0;
+    if (Each.IsRefused)
+      continue;
+    Partial += Each.Coverage < 1.0 ? 1.0 : 0.0;
+    Accepted += 1.0;
+    (IsOrder ? OrderLatencies : PlotLatencies).push_back(Each.Latency);
+  }
+  const query::QueryStatistics Work = Fleet.statistics();
+  const double Seconds =
+      std::chrono::duration<double>(Duration - WarmUp).count();
+  return {
+      {"overload.capacity_per_s", QueryCapacity},
+      {"overload.accepted_per_s", Accepted / Seconds},
+      {"overload.useful_part_of_capacity", Useful / Seconds / QueryCapacity},
+      {"overload.refused_per_s", Refused / Seconds},
+      {"overload.untrue_refusals", untrueRefusals(Fleet)},
+      {"overload.plots_p50_ms", percentileMs(PlotLatencies, 50.0)},
+      {"overload.plots_p99_ms", percentileMs(PlotLatencies, 99.0)},
+      {"overload.orders_p99_ms", percentileMs(OrderLatencies, 99.0)},
+      {"overload.orders_useful_part", UsefulOrders / OfferedOrders},
+      {"overload.extra_load",
+       static_cast<double>(Fleet.searchers().counts().Sent) /
+               Work.FirstAttempts -
+           1.0},
+      {"overload.hedges", static_cast<double>(Work.Hedges)},
+      {"overload.orders_refused_part", RefusedOrders / OfferedOrders},
+      {"overload.partial_answers", Partial},
+      {"overload.shed_attempts", static_cast<double>(Work.ShedAttempts)},
+  };
+}
+
+double OverloadBenchmark::untrueRefusals(const BenchFleet &Fleet) {
+  std::unordered_set<std::string> Started;
+  for (const auto &Each : Fleet.searchers().executions())
+    Started.insert(Each.Request.Value);
+  double Count = 0.0;
+  for (const AnswerRecord &Each : Fleet.answers())
+    if (Each.IsRefused && Started.contains(Each.Request.Value))
+      Count += 1.0;
+  return Count;
+}
+
+} // namespace acaciacross::benchmarks
