--- a/Source/Query/QueryExecution.cpp
+++ b/Source/Query/QueryExecution.cpp
@@ -314,6 +314,8 @@
   ShardProgress &Progress = this->Shards[Shard];
   if (Status == AttemptStatus::Answered)
     ++this->Statistics.DiscardedReplies;
+  if (Status == AttemptStatus::Shed)
+    ++this->Statistics.ShedAttempts;
   if (!provesNotRun(Status))
     this->MayHaveRun = true;
 
--- a/Source/Query/QueryStatistics.h
+++ b/Source/Query/QueryStatistics.h
@@ -17,6 +17,8 @@
   std::uint32_t HedgesWon = 0;
   std::uint32_t CancelledAttempts = 0;
   std::uint32_t DiscardedReplies = 0;
+  /// Attempts that a searcher shed; a sign of overload.
+  std::uint32_t ShedAttempts = 0;
   std::uint32_t Restarts = 0;
 
   QueryStatistics &operator+=(const QueryStatistics &Other);
