Traffic: keep the evidence sink of the router test apart from the fixture

ThreadSanitizer reported a race in the test: a traffic thread called the fixture's report while the fixture was being destroyed.

--- /dev/null
+++ b/Source/UnitTests/Traffic/IgnoredEvidence.h
@@ -0,0 +1,16 @@
+#ifndef ACACIACROSS_UNITTESTS_TRAFFIC_IGNOREDEVIDENCE_H
+#define ACACIACROSS_UNITTESTS_TRAFFIC_IGNOREDEVIDENCE_H
+
+#include "Control/EvidenceSink.h"
+
+namespace acaciacross::traffic {
+
+/// Drops all evidence.
+class IgnoredEvidence final : public control::EvidenceSink {
+public:
+  void report(std::vector<control::UpstreamEvidence>) override {}
+};
+
+} // namespace acaciacross::traffic
+
+#endif
--- a/Source/UnitTests/Traffic/TrafficRouterTest.cpp
+++ b/Source/UnitTests/Traffic/TrafficRouterTest.cpp
@@ -1,6 +1,7 @@
 #include "Traffic/TrafficRouter.h"
 
 #include "Common/SystemClock.h"
+#include "IgnoredEvidence.h"
 #include "RawUpstream.h"
 #include "ReplyRecord.h"
 #include "ViewBuilder.h"
@@ -12,10 +13,8 @@
 using common::ResultCode;
 using std::chrono::milliseconds;
 
-class TrafficRouterTest : public testing::Test, public control::EvidenceSink {
+class TrafficRouterTest : public testing::Test {
 protected:
-  void report(std::vector<control::UpstreamEvidence>) override {}
-
   std::shared_ptr<ReplyRecord>
   send(const char *Class, std::optional<tickets::Ticket> Ticket = {}) {
     auto Record = std::make_shared<ReplyRecord>();
@@ -40,12 +39,13 @@
   }
 
   common::SystemClock Time;
+  IgnoredEvidence Evidence;
   RawUpstream Upstream{
       [](std::size_t, const std::string &Request) { return answer(Request); }};
   TrafficRouter Router{
       {{common::VmId("e"), {"127.0.0.1", 1}, common::Incarnation(7), {}, 9}, 1},
       this->Time,
-      *this};
+      this->Evidence};
 };
 
 TEST_F(TrafficRouterTest, RequestBeforeAnyViewIsRefused) {
