EntryNode: join the fleet

Cause: the daemon sent no probes, so address answers named only itself and Tools/demo stopped with "the fleet of three entry VMs not ready within 20 s". The watcher of the configuration service ran on every VM.

Change: EntryNode owns a FleetMember on the control thread's reactor, and the election of readers drives the watcher through WatcherRole.

--- a/Source/Programs/EntryNode/EntryNode.cpp
+++ b/Source/Programs/EntryNode/EntryNode.cpp
@@ -51,13 +51,15 @@
       Calls(Settings.Vm, this->Router, this->Audit, this->Time, this->Random),
       Watcher(Settings.ConfigurationService, this->Control,
               common::SeededRandom::fromSystem()),
+      Role(this->Watcher), FleetRandom(common::SeededRandom::fromSystem()),
+      Fleet(this->Control.state(), this->Control.reactor(), this->Time,
+            this->FleetRandom, this->Role),
       Poller(Settings.VmList, this->Control,
              common::SeededRandom::fromSystem()),
       Server(makeServerSettings(Settings), this->Calls, this->Time) {
   this->Control.addListener(this->Router);
   this->Control.start();
   this->Watcher.start();
-  this->Watcher.resume();
   this->Poller.start();
   common::logEvent(common::LogEvent::ProcessStarted,
                    "vm=" + Settings.Vm.Value +
--- a/Source/Programs/EntryNode/EntryNode.h
+++ b/Source/Programs/EntryNode/EntryNode.h
@@ -7,9 +7,11 @@
 #include "Control/ControlThread.h"
 #include "Frontend/CallDispatcher.h"
 #include "Frontend/CallerServer.h"
+#include "Peering/FleetMember.h"
 #include "Platform/ConfigurationWatcher.h"
 #include "Platform/VmListPoller.h"
 #include "Programs/EntryNode/ControlAuditSource.h"
+#include "Programs/EntryNode/WatcherRole.h"
 #include "Traffic/TrafficRouter.h"
 
 namespace acaciacross::entry {
@@ -17,7 +19,7 @@
 /// All parts of an entry VM's process.
 class EntryNode {
 public:
-  /// Opens the caller port. Throws common::Error when that fails.
+  /// Opens the ports. Throws common::Error when that fails.
   explicit EntryNode(const configuration::EntrySettings &Settings);
   ~EntryNode();
 
@@ -40,6 +42,10 @@
   ControlAuditSource Audit;
   frontend::CallDispatcher Calls;
   platform::ConfigurationWatcher Watcher;
+  WatcherRole Role;
+  /// Used on the control thread only.
+  common::SeededRandom FleetRandom;
+  peering::FleetMember Fleet;
   platform::VmListPoller Poller;
   frontend::CallerServer Server;
   bool IsShutDown = false;
