Peering: test the pause of a member, and take TCP ports that are free

Cause: PeerSocketTest bound its TCP server to the number that the system had chosen for a UDP socket; on a machine with many connections that number was often in use, and the fixture failed with "no TCP socket". The server now binds to a port of its own and says which (TransferServer::local).

New test: a control thread that stands still for 700 ms names no peer.

--- a/Source/Peering/TransferServer.cpp
+++ b/Source/Peering/TransferServer.cpp
@@ -37,6 +37,12 @@
     Transfer->abandon();
 }
 
+common::Address TransferServer::local() const {
+  ACE_INET_Addr Bound;
+  this->Acceptor.get_local_addr(Bound);
+  return {Bound.get_host_addr(), Bound.get_port_number()};
+}
+
 std::uint64_t TransferServer::dropped() const { return this->Drops.total(); }
 
 ACE_HANDLE TransferServer::get_handle() const {
--- a/Source/Peering/TransferServer.h
+++ b/Source/Peering/TransferServer.h
@@ -25,6 +25,9 @@
   TransferServer(const TransferServer &) = delete;
   TransferServer &operator=(const TransferServer &) = delete;
 
+  /// The address that the server listens on.
+  common::Address local() const;
+
   /// Malformed requests so far.
   std::uint64_t dropped() const;
 
--- a/Source/UnitTests/Peering/FleetMemberTest.cpp
+++ b/Source/UnitTests/Peering/FleetMemberTest.cpp
@@ -5,6 +5,7 @@
 
 #include <ace/INET_Addr.h>
 #include <ace/SOCK_Acceptor.h>
+#include <algorithm>
 
 namespace acaciacross::peering {
 
@@ -121,6 +122,27 @@
   EXPECT_TRUE(this->Second->waitForAudit("entry-2", "lost"));
 }
 
+// After a pause nothing that was known before it may be told to callers.
+TEST_F(FleetMemberTest, StoppedControlThreadNamesNoPeerUntilTheyAnswerAgain) {
+  publish(*this->First, 5);
+  ASSERT_TRUE(this->First->waitForEntryVms(3));
+  this->Second.reset();
+  this->Third.reset();
+  this->First->ask<bool>([](control::ControlState &) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(700));
+    return true;
+  });
+  EXPECT_TRUE(this->First->waitFor([](control::ControlState &State) {
+    const auto Entries = State.audit().after(0);
+    return std::ranges::any_of(Entries, [](const auto &Entry) {
+      return Entry.Text.starts_with("paused for ");
+    });
+  }));
+  EXPECT_TRUE(this->First->ask<bool>([](control::ControlState &State) {
+    return State.buildView()->EntryVms.size() == 1;
+  }));
+}
+
 TEST_F(FleetMemberTest, TwoOfThreeVmsOfAFailureDomainBecomeReaders) {
   publish(*this->First, 5);
   ASSERT_TRUE(this->First->waitForEntryVms(3));
--- a/Source/UnitTests/Peering/PeerSocketTest.cpp
+++ b/Source/UnitTests/Peering/PeerSocketTest.cpp
@@ -49,7 +49,7 @@
     return Condition();
   }
 
-  common::Address serverAddress() const { return this->First.local(); }
+  common::Address serverAddress() const { return this->Server.local(); }
 
   common::SystemClock Time;
   ACE_Reactor Events{new ACE_Dev_Poll_Reactor(), true};
@@ -59,7 +59,7 @@
   int Failures = 0;
   ProbeSocket First{{"127.0.0.1", 0}, this->Events, *this, this->Time};
   ProbeSocket Second{{"127.0.0.1", 0}, this->Events, *this, this->Time};
-  TransferServer Server{this->serverAddress(), this->Events, *this, this->Time};
+  TransferServer Server{{"127.0.0.1", 0}, this->Events, *this, this->Time};
   TransferClient Client{this->Events, *this, this->Time};
 };
 
