Limits: pass the shed part, not a truth value, to the admission queue

Cause: the admission queue changed from "saw a shed attempt" to the part of the attempts that were shed, while the traffic thread still passed a bool. It compiled, and one shed attempt in a query counted as all of them, so the limit of a busy service fell on every shed attempt.

Change: QueryStatistics::shedPart serves the traffic thread and the benchmark, and the overload for bool is deleted, so that the mistake no longer compiles.

--- a/Source/Benchmarks/BenchVm.cpp
+++ b/Source/Benchmarks/BenchVm.cpp
@@ -14,11 +14,6 @@
   return {64, Smallest / 4};
 }
 
-double shedPart(const query::QueryStatistics &Work) {
-  const double Attempts = Work.FirstAttempts + Work.ExtraAttempts;
-  return Attempts > 0.0 ? Work.ShedAttempts / Attempts : 0.0;
-}
-
 double coverageOf(const query::Outcome &Outcome) {
   if (std::holds_alternative<query::CompleteAnswer>(Outcome))
     return 1.0;
@@ -113,7 +108,7 @@
                   Now - Arrived.mapped(), coverageOf(Outcome),
                   std::holds_alternative<query::Refusal>(Outcome)});
   this->Admission.onFinished(Request.Class, Now, Now - Run.StartedAt,
-                             shedPart(Work));
+                             Work.shedPart());
   // Not from within the finished query's own call.
   this->Events.after(std::chrono::nanoseconds(0),
                      [this] { this->serveQueue(); });
--- a/Source/Limits/AdmissionQueue.h
+++ b/Source/Limits/AdmissionQueue.h
@@ -29,6 +29,9 @@
   /// ShedPart: part of its attempts that searchers shed.
   void onFinished(const common::ClassName &Class, common::MonotonicTime Now,
                   std::chrono::nanoseconds Latency, double ShedPart);
+  /// A truth value would pass for a part of 1.
+  void onFinished(const common::ClassName &Class, common::MonotonicTime Now,
+                  std::chrono::nanoseconds Latency, bool ShedPart) = delete;
   /// Requests that run now. To be called after onFinished and takeExpired.
   std::vector<AdmissionEntry> takeReady(common::MonotonicTime Now);
   /// Requests that have waited too long.
--- a/Source/Query/QueryExecution.cpp
+++ b/Source/Query/QueryExecution.cpp
@@ -1,5 +1,6 @@
 #include "Query/QueryExecution.h"
 
+#include "Query/OutcomeDecision.h"
 #include "Query/SnapshotSelector.h"
 
 #include <algorithm>
@@ -17,32 +18,6 @@
 // Two attempts at a time are enough to get past one slow replica.
 constexpr std::size_t MaxRunningPerShard = 2;
 
-template <typename Container, typename Value>
-bool contains(const Container &Values, const Value &Wanted) {
-  return std::find(Values.begin(), Values.end(), Wanted) != Values.end();
-}
-
-common::ResultCode refusalCode(common::ResultCode Reason) {
-  switch (Reason) {
-  case common::ResultCode::DeadlinePassed:
-    return common::ResultCode::DeadlineTooShort;
-  case common::ResultCode::Interrupted:
-    return common::ResultCode::NotServing;
-  default:
-    return Reason;
-  }
-}
-
-common::ResultCode failureCode(common::ResultCode Reason) {
-  switch (Reason) {
-  case common::ResultCode::DeadlinePassed:
-  case common::ResultCode::Interrupted:
-    return Reason;
-  default:
-    return common::ResultCode::AttemptLost;
-  }
-}
-
 } // namespace
 
 QueryExecution::QueryExecution(QueryRequest Accepted,
@@ -425,40 +400,9 @@
     Progress.HedgeAt.reset();
     Progress.RetryAt.reset();
   }
-  this->Decided = this->decideOutcome(Reason);
-}
-
-Outcome QueryExecution::decideOutcome(common::ResultCode Reason) const {
-  if (this->Tally && this->Tally->isComplete()) {
-    CompleteAnswer Answer;
-    Answer.Snapshot = this->snapshot().Id;
-    for (std::size_t Shard = 0; Shard < this->Shards.size(); ++Shard)
-      Answer.Parts.push_back(
-          {this->snapshot().Shards[Shard].Id, this->Shards[Shard].Body});
-    return Answer;
-  }
-  const bool IsAnyAnswered = std::any_of(
-      this->Shards.begin(), this->Shards.end(),
-      [](const ShardProgress &Progress) { return Progress.IsAnswered; });
-  if (IsAnyAnswered)
-    return this->makePartialAnswer();
-  if (this->MayHaveRun)
-    return Failure{failureCode(Reason)};
-  return Refusal{refusalCode(Reason)};
-}
-
-PartialAnswer QueryExecution::makePartialAnswer() const {
-  PartialAnswer Answer;
-  Answer.Snapshot = this->snapshot().Id;
-  Answer.Coverage = this->Tally->coverage();
-  for (std::size_t Shard = 0; Shard < this->Shards.size(); ++Shard) {
-    const ShardView &View = this->snapshot().Shards[Shard];
-    if (this->Shards[Shard].IsAnswered)
-      Answer.Parts.push_back({View.Id, this->Shards[Shard].Body});
-    else
-      Answer.Missing.push_back({View.Id, View.Range});
-  }
-  return Answer;
+  const SnapshotView *Pinned = this->Tally ? &this->snapshot() : nullptr;
+  this->Decided =
+      OutcomeDecision(Pinned, this->Shards, this->MayHaveRun).decide(Reason);
 }
 
 } // namespace acaciacross::query
--- a/Source/Query/QueryExecution.h
+++ b/Source/Query/QueryExecution.h
@@ -77,8 +77,6 @@
   bool isAnythingPending() const;
   bool isAnythingRunning() const;
   void finish(common::ResultCode Reason);
-  Outcome decideOutcome(common::ResultCode Reason) const;
-  PartialAnswer makePartialAnswer() const;
 
   QueryRequest Request;
   /// The state that the snapshot and all positions refer to.
--- a/Source/Query/QueryStatistics.cpp
+++ b/Source/Query/QueryStatistics.cpp
@@ -2,6 +2,11 @@
 
 namespace acaciacross::query {
 
+double QueryStatistics::shedPart() const {
+  const double Attempts = this->FirstAttempts + this->ExtraAttempts;
+  return Attempts > 0.0 ? this->ShedAttempts / Attempts : 0.0;
+}
+
 QueryStatistics &QueryStatistics::operator+=(const QueryStatistics &Other) {
   this->FirstAttempts += Other.FirstAttempts;
   this->ExtraAttempts += Other.ExtraAttempts;
--- a/Source/Query/QueryStatistics.h
+++ b/Source/Query/QueryStatistics.h
@@ -21,6 +21,9 @@
   std::uint32_t ShedAttempts = 0;
   std::uint32_t Restarts = 0;
 
+  /// Part of the attempts that searchers shed, in [0, 1].
+  double shedPart() const;
+
   QueryStatistics &operator+=(const QueryStatistics &Other);
 };
 
--- a/Source/Traffic/RunningQuery.h
+++ b/Source/Traffic/RunningQuery.h
@@ -18,8 +18,6 @@
   /// Null while it waits.
   std::unique_ptr<query::QueryExecution> Execution;
   common::MonotonicTime AdmittedAt;
-  /// A searcher shed one of its attempts.
-  bool SawShed = false;
   common::MonotonicTime TimerAt;
 };
 
--- a/Source/Traffic/ServiceEngine.cpp
+++ b/Source/Traffic/ServiceEngine.cpp
@@ -187,7 +187,7 @@
                               Query.Execution->statistics(), Now);
   --Query.Class->Running;
   this->Admission.onFinished(Query.Request.Class, Now, Now - Query.AdmittedAt,
-                             Query.SawShed);
+                             Query.Execution->statistics().shedPart());
   if (Query.Request.Ticket)
     this->Tickets.finish(*Query.Request.Ticket, Result);
   Query.Sink->onReply({Result, {}});
@@ -201,8 +201,6 @@
       continue;
     this->Attempts.setQuery(*Number);
     RunningQuery &Query = this->Queries.at(*Number);
-    if (Ended.Result.Status == query::AttemptStatus::Shed)
-      Query.SawShed = true;
     Query.Execution->onAttemptEnded(Ended.Result, this->Ticker.monotonicNow());
     this->settle(*Number);
   }
