Query: keep the running attempts in a class of their own

AttemptBook now starts, ends and cancels attempts and knows which run; the choice of a replica that two places repeated is one function.

--- a/Source/Query/QueryExecution.cpp
+++ b/Source/Query/QueryExecution.cpp
@@ -24,7 +24,8 @@
                                std::shared_ptr<const ServiceView> View,
                                QueryDependencies Used)
     : Request(std::move(Accepted)), Service(std::move(View)),
-      NewestService(this->Service), Dependencies(Used) {}
+      NewestService(this->Service), Dependencies(Used),
+      Attempts(this->Request, this->Dependencies) {}
 
 void QueryExecution::start(common::MonotonicTime Now) {
   if (Now >= this->Request.Deadline) {
@@ -42,20 +43,13 @@
 
 void QueryExecution::onAttemptEnded(const AttemptResult &Result,
                                     common::MonotonicTime Now) {
-  const auto Known = this->ShardOfAttempt.find(Result.Attempt);
-  if (Known == this->ShardOfAttempt.end())
+  const std::optional<std::size_t> Known =
+      this->Attempts.shardOf(Result.Attempt);
+  if (!Known)
     return;
-  const std::size_t Shard = Known->second;
-  this->ShardOfAttempt.erase(Known);
-
-  ShardProgress &Progress = this->Shards[Shard];
-  const auto Ended = std::find_if(
-      Progress.Running.begin(), Progress.Running.end(),
-      [&](const RunningAttempt &Each) { return Each.Id == Result.Attempt; });
-  const RunningAttempt Attempt = *Ended;
-  Progress.Running.erase(Ended);
-  this->Dependencies.Replicas.onAttemptEnded(
-      this->Service->Searchers[Attempt.SearcherPosition].Index);
+  const std::size_t Shard = *Known;
+  const RunningAttempt Attempt =
+      this->Attempts.end(*this->Service, this->Shards[Shard], Result.Attempt);
 
   if (Result.Status == AttemptStatus::Answered &&
       this->isValidReply(Shard, Attempt, Result))
@@ -137,11 +131,7 @@
   ShardProgress &Progress = this->Shards[Shard];
   Progress.RetryAt.reset();
 
-  std::vector<std::uint32_t> Excluded = Progress.Dropped;
-  Excluded.insert(Excluded.end(), Progress.Tried.begin(), Progress.Tried.end());
-  const std::optional<std::uint32_t> Replica =
-      this->Dependencies.Replicas.select(
-          *this->Service, this->snapshot().Shards[Shard], Excluded);
+  const std::optional<std::uint32_t> Replica = this->selectReplica(Shard);
   if (!Replica) {
     this->beginNextRound(Shard, Now);
     return;
@@ -193,33 +183,24 @@
 void QueryExecution::startAttempt(std::size_t Shard,
                                   std::uint32_t SearcherPosition, bool IsHedge,
                                   common::MonotonicTime Now) {
-  const SearcherView &Searcher = this->Service->Searchers[SearcherPosition];
-  AttemptSpec Spec;
-  Spec.Id = this->Dependencies.Ids.next();
-  Spec.Searcher = Searcher.Index;
-  Spec.Endpoint = Searcher.Endpoint;
-  Spec.Request = this->Request.Id;
-  Spec.Class = this->Request.Class;
-  Spec.Snapshot = this->snapshot().Id;
-  Spec.Shard = this->snapshot().Shards[Shard].Id;
-  Spec.Deadline = this->Request.Deadline;
-  Spec.WallDeadline = this->Request.WallDeadline;
-  Spec.Repeatable = this->Request.Repeatable;
-  Spec.Body = this->Request.Body;
-
   ShardProgress &Progress = this->Shards[Shard];
-  Progress.Running.push_back({Spec.Id, SearcherPosition, IsHedge});
-  Progress.Tried.push_back(SearcherPosition);
   Progress.HedgeAt.reset();
-  this->ShardOfAttempt.emplace(Spec.Id, Shard);
-  this->Dependencies.Replicas.onAttemptStarted(Searcher.Index);
-
   const auto HedgeDelay = this->Dependencies.Hedging.delay();
   if (this->Request.Repeatable && !IsHedge && HedgeDelay)
     Progress.HedgeAt =
         Now + std::chrono::duration_cast<common::MonotonicTime::duration>(
                   *HedgeDelay);
-  this->Dependencies.Port.start(Spec);
+  this->Attempts.start(*this->Service, this->snapshot(), Shard,
+                       SearcherPosition, IsHedge, Progress);
+}
+
+std::optional<std::uint32_t>
+QueryExecution::selectReplica(std::size_t Shard) const {
+  const ShardProgress &Progress = this->Shards[Shard];
+  std::vector<std::uint32_t> Excluded = Progress.Dropped;
+  Excluded.insert(Excluded.end(), Progress.Tried.begin(), Progress.Tried.end());
+  return this->Dependencies.Replicas.select(
+      *this->Service, this->snapshot().Shards[Shard], Excluded);
 }
 
 void QueryExecution::tryHedge(std::size_t Shard, common::MonotonicTime Now) {
@@ -228,11 +209,7 @@
   if (Progress.Running.empty() || Progress.Running.size() >= MaxRunningPerShard)
     return;
 
-  std::vector<std::uint32_t> Excluded = Progress.Dropped;
-  Excluded.insert(Excluded.end(), Progress.Tried.begin(), Progress.Tried.end());
-  const std::optional<std::uint32_t> Replica =
-      this->Dependencies.Replicas.select(
-          *this->Service, this->snapshot().Shards[Shard], Excluded);
+  const std::optional<std::uint32_t> Replica = this->selectReplica(Shard);
   if (!Replica || !this->Dependencies.Budget.tryWithdrawForHedge()) {
     Progress.HedgeAt = Now + RetryBackoff;
     return;
@@ -243,15 +220,10 @@
 }
 
 void QueryExecution::cancelRunning(ShardProgress &Progress) {
-  for (const RunningAttempt &Attempt : Progress.Running) {
-    this->ShardOfAttempt.erase(Attempt.Id);
-    this->Dependencies.Replicas.onAttemptEnded(
-        this->Service->Searchers[Attempt.SearcherPosition].Index);
-    this->Dependencies.Port.cancel(Attempt.Id);
+  const std::uint32_t Count = this->Attempts.cancel(*this->Service, Progress);
+  this->Statistics.CancelledAttempts += Count;
+  if (Count > 0)
     this->MayHaveRun = true;
-    ++this->Statistics.CancelledAttempts;
-  }
-  Progress.Running.clear();
 }
 
 bool QueryExecution::isValidReply(std::size_t Shard,
@@ -329,7 +301,7 @@
     return;
   // A restart runs every shard again, so that it is open to a request that may
   // not be repeated only while nothing of it can have run.
-  const bool CanHaveRun = this->MayHaveRun || this->isAnythingRunning();
+  const bool CanHaveRun = this->MayHaveRun || this->Attempts.isAnyRunning();
   if (CanHaveRun && !this->Request.Repeatable)
     return;
   this->restart(Now);
@@ -361,10 +333,6 @@
   }
 }
 
-bool QueryExecution::isAnythingRunning() const {
-  return !this->ShardOfAttempt.empty();
-}
-
 bool QueryExecution::isAnythingPending() const {
   return std::any_of(this->Shards.begin(), this->Shards.end(),
                      [](const ShardProgress &Progress) {
@@ -391,7 +359,7 @@
   if (this->Tally->coverage() >= this->Request.CoverageTarget)
     return true;
   // What only waits for budget or a free replica would hold the answer back.
-  return !this->isAnythingRunning();
+  return !this->Attempts.isAnyRunning();
 }
 
 void QueryExecution::finish(common::ResultCode Reason) {
--- a/Source/Query/QueryExecution.h
+++ b/Source/Query/QueryExecution.h
@@ -1,6 +1,7 @@
 #ifndef ACACIACROSS_QUERY_QUERYEXECUTION_H
 #define ACACIACROSS_QUERY_QUERYEXECUTION_H
 
+#include "Query/AttemptBook.h"
 #include "Query/AttemptResult.h"
 #include "Query/CoverageTally.h"
 #include "Query/Outcome.h"
@@ -13,7 +14,6 @@
 #include <memory>
 #include <optional>
 #include <span>
-#include <unordered_map>
 #include <vector>
 
 namespace acaciacross::query {
@@ -25,6 +25,8 @@
 public:
   QueryExecution(QueryRequest Accepted, std::shared_ptr<const ServiceView> View,
                  QueryDependencies Used);
+  QueryExecution(const QueryExecution &) = delete;
+  QueryExecution &operator=(const QueryExecution &) = delete;
 
   void start(common::MonotonicTime Now);
 
@@ -56,6 +58,7 @@
   bool pinSnapshot();
 
   void tryAttempt(std::size_t Shard, common::MonotonicTime Now);
+  std::optional<std::uint32_t> selectReplica(std::size_t Shard) const;
   bool payForAttempt(ShardProgress &Progress);
   void startAttempt(std::size_t Shard, std::uint32_t SearcherPosition,
                     bool IsHedge, common::MonotonicTime Now);
@@ -75,7 +78,6 @@
   void finishIfDone(common::MonotonicTime Now);
   bool isGoodEnoughAtTarget() const;
   bool isAnythingPending() const;
-  bool isAnythingRunning() const;
   void finish(common::ResultCode Reason);
 
   QueryRequest Request;
@@ -88,7 +90,7 @@
   std::size_t SnapshotPosition = 0;
   std::optional<CoverageTally> Tally;
   std::vector<ShardProgress> Shards;
-  std::unordered_map<common::AttemptId, std::size_t> ShardOfAttempt;
+  AttemptBook Attempts;
 
   /// An attempt started whose work the upstream may have begun.
   bool MayHaveRun = false;
--- a/Source/UnitTests/Common/CodePagesTest.cpp
+++ b/Source/UnitTests/Common/CodePagesTest.cpp
@@ -1,8 +1,9 @@
 #include "Common/LogEvent.h"
 #include "Common/ResultCode.h"
 
-#include <fstream>
 #include <gtest/gtest.h>
+
+#include <fstream>
 #include <map>
 #include <regex>
 #include <string>
