Routing: keep attempts away from failing replicas

A searcher that fails at once has nothing in flight, so the choice by load preferred it, and ejection may take only one of three replicas.

Change: the selector keeps a moving average of failures per searcher and leaves out those above a half, but for 1 choice in 50 that shows when they work again; a healthy replica that is only busy is waited for. When no healthy replica is left the failing ones are asked as before.

--- a/Source/Benchmarks/Selection/SelectionRun.cpp
+++ b/Source/Benchmarks/Selection/SelectionRun.cpp
@@ -50,7 +50,7 @@
   // searchers, which is half of the slots.
   auto &Place = this->Running[this->Chosen % this->Running.size()];
   if (Place)
-    this->Selector.onAttemptEnded(*Place);
+    this->Selector.onAttemptEnded(*Place, query::AttemptStatus::Answered);
   Place.reset();
   if (Position) {
     Place = this->View->Searchers[*Position].Index;
--- a/Source/Query/AttemptBook.cpp
+++ b/Source/Query/AttemptBook.cpp
@@ -50,7 +50,8 @@
 
 RunningAttempt AttemptBook::end(const ServiceView &Service,
                                 ShardProgress &Progress,
-                                const common::AttemptId &Attempt) {
+                                const common::AttemptId &Attempt,
+                                AttemptStatus Status) {
   this->Shards.erase(Attempt);
   const auto Ended = std::find_if(
       Progress.Running.begin(), Progress.Running.end(),
@@ -58,7 +59,7 @@
   const RunningAttempt Taken = *Ended;
   Progress.Running.erase(Ended);
   this->Dependencies.Replicas.onAttemptEnded(
-      Service.Searchers[Taken.SearcherPosition].Index);
+      Service.Searchers[Taken.SearcherPosition].Index, Status);
   return Taken;
 }
 
@@ -68,7 +69,8 @@
   for (const RunningAttempt &Attempt : Progress.Running) {
     this->Shards.erase(Attempt.Id);
     this->Dependencies.Replicas.onAttemptEnded(
-        Service.Searchers[Attempt.SearcherPosition].Index);
+        Service.Searchers[Attempt.SearcherPosition].Index,
+        AttemptStatus::Cancelled);
     this->Dependencies.Port.cancel(Attempt.Id);
   }
   Progress.Running.clear();
--- a/Source/Query/AttemptBook.h
+++ b/Source/Query/AttemptBook.h
@@ -30,7 +30,7 @@
 
   /// Takes a running attempt off the book.
   RunningAttempt end(const ServiceView &Service, ShardProgress &Progress,
-                     const common::AttemptId &Attempt);
+                     const common::AttemptId &Attempt, AttemptStatus Status);
 
   /// Cancels what runs for one shard; gives the number of attempts.
   std::uint32_t cancel(const ServiceView &Service, ShardProgress &Progress);
--- a/Source/Query/QueryExecution.cpp
+++ b/Source/Query/QueryExecution.cpp
@@ -48,8 +48,8 @@
   if (!Known)
     return;
   const std::size_t Shard = *Known;
-  const RunningAttempt Attempt =
-      this->Attempts.end(*this->Service, this->Shards[Shard], Result.Attempt);
+  const RunningAttempt Attempt = this->Attempts.end(
+      *this->Service, this->Shards[Shard], Result.Attempt, Result.Status);
 
   if (Result.Status == AttemptStatus::Answered &&
       this->isValidReply(Shard, Attempt, Result))
--- a/Source/Query/ReplicaSelector.h
+++ b/Source/Query/ReplicaSelector.h
@@ -1,6 +1,7 @@
 #ifndef ACACIACROSS_QUERY_REPLICASELECTOR_H
 #define ACACIACROSS_QUERY_REPLICASELECTOR_H
 
+#include "Query/AttemptStatus.h"
 #include "Query/ServiceView.h"
 
 #include <cstdint>
@@ -20,9 +21,11 @@
   select(const ServiceView &Service, const ShardView &Shard,
          std::span<const std::uint32_t> Excluded) = 0;
 
-  /// Told of every attempt's start and end, to count what is in flight.
+  /// Told of every attempt's start and end: what is in flight and which
+  /// searchers fail rules the choice.
   virtual void onAttemptStarted(common::SearcherIndex Searcher) = 0;
-  virtual void onAttemptEnded(common::SearcherIndex Searcher) = 0;
+  virtual void onAttemptEnded(common::SearcherIndex Searcher,
+                              AttemptStatus Status) = 0;
 };
 
 } // namespace acaciacross::query
--- a/Source/Routing/PowerOfTwoSelector.cpp
+++ b/Source/Routing/PowerOfTwoSelector.cpp
@@ -21,6 +21,39 @@
 constexpr std::size_t MostDraws = 16;
 constexpr std::size_t ReplicasPerDraw = 8;
 
+// An attempt that a searcher fails at once makes it look idle, so that load
+// alone would send it ever more. Four failures in a row pass the limit.
+constexpr float FailureWeight = 0.2F;
+constexpr float FailureLimit = 0.5F;
+
+// A cancelled attempt was slower than another replica or than the class's
+// target. It counts less than a failure, but many in a row show a searcher that
+// hangs.
+constexpr float CancelledFailure = 0.7F;
+
+// A failing searcher still gets this part of the choices, which shows when it
+// works again.
+constexpr std::uint64_t ProbeOneIn = 50;
+
+float failureOf(query::AttemptStatus Status) {
+  switch (Status) {
+  case query::AttemptStatus::NotSent:
+  case query::AttemptStatus::Lost:
+  case query::AttemptStatus::ExpiredBeforeStart:
+    return 1.0F;
+  case query::AttemptStatus::Cancelled:
+    return CancelledFailure;
+  // Load is dealt with by what is in flight, and a snapshot or shard that is
+  // gone says nothing of other snapshots.
+  case query::AttemptStatus::Answered:
+  case query::AttemptStatus::Shed:
+  case query::AttemptStatus::SnapshotGone:
+  case query::AttemptStatus::ShardGone:
+    return 0.0F;
+  }
+  return 0.0F;
+}
+
 float costPerAttempt(const query::SearcherView &Searcher) {
   const double Capacity = std::max<std::uint32_t>(Searcher.Slots, 1) *
                           std::max(Searcher.Share, SmallestShare);
@@ -48,6 +81,37 @@
 std::optional<std::uint32_t>
 PowerOfTwoSelector::select(const query::ServiceView &Service,
                            const query::ShardView &Shard, Positions Excluded) {
+  const bool IsProbe = this->Random.below(ProbeOneIn) == 0;
+  if (!IsProbe) {
+    this->AvoidsFailing = true;
+    const auto Chosen = this->chooseOfTwo(Service, Shard, Excluded);
+    // A healthy replica at its quota is free again before the retry of an
+    // attempt that a failing one would lose.
+    if (Chosen || this->isHealthyOneBusy(Service, Shard, Excluded))
+      return Chosen;
+  }
+  this->AvoidsFailing = false;
+  return this->chooseOfTwo(Service, Shard, Excluded);
+}
+
+bool PowerOfTwoSelector::isHealthyOneBusy(const query::ServiceView &Service,
+                                          const query::ShardView &Shard,
+                                          Positions Excluded) const {
+  return std::any_of(
+      Shard.Replicas.begin(), Shard.Replicas.end(), [&](std::uint32_t Each) {
+        const std::uint32_t Index = Service.Searchers[Each].Index.Value;
+        if (Index >= this->Loads.size() || this->Loads[Index].Quota == 0)
+          return false;
+        return this->Loads[Index].FailureRate <= FailureLimit &&
+               std::find(Excluded.begin(), Excluded.end(), Each) ==
+                   Excluded.end();
+      });
+}
+
+std::optional<std::uint32_t>
+PowerOfTwoSelector::chooseOfTwo(const query::ServiceView &Service,
+                                const query::ShardView &Shard,
+                                Positions Excluded) {
   const auto First = this->pick(Service, Shard, Excluded, std::nullopt);
   if (!First)
     return std::nullopt;
@@ -64,8 +128,10 @@
   ++this->loadOf(Searcher).InFlight;
 }
 
-void PowerOfTwoSelector::onAttemptEnded(common::SearcherIndex Searcher) {
+void PowerOfTwoSelector::onAttemptEnded(common::SearcherIndex Searcher,
+                                        query::AttemptStatus Status) {
   SearcherLoad &Load = this->loadOf(Searcher);
+  Load.FailureRate += FailureWeight * (failureOf(Status) - Load.FailureRate);
   if (Load.InFlight > 0)
     --Load.InFlight;
 }
@@ -89,7 +155,10 @@
   const std::uint32_t Index = Service.Searchers[Position].Index.Value;
   if (Index >= this->Loads.size())
     return false;
-  if (this->Loads[Index].InFlight >= this->Loads[Index].Quota)
+  const SearcherLoad &Load = this->Loads[Index];
+  if (Load.InFlight >= Load.Quota)
+    return false;
+  if (this->AvoidsFailing && Load.FailureRate > FailureLimit)
     return false;
   return std::find(Excluded.begin(), Excluded.end(), Position) ==
          Excluded.end();
--- a/Source/Routing/PowerOfTwoSelector.h
+++ b/Source/Routing/PowerOfTwoSelector.h
@@ -9,8 +9,9 @@
 
 namespace acaciacross::routing {
 
-/// Takes the less loaded of two random usable replicas. One per traffic thread;
-/// the choice allocates nothing.
+/// Takes the less loaded of two random usable replicas; those that fail get few
+/// attempts while another is free. One per traffic thread; the choice allocates
+/// nothing.
 class PowerOfTwoSelector final : public query::ReplicaSelector {
 public:
   explicit PowerOfTwoSelector(common::RandomSource &Random);
@@ -23,7 +24,8 @@
   select(const query::ServiceView &Service, const query::ShardView &Shard,
          std::span<const std::uint32_t> Excluded) override;
   void onAttemptStarted(common::SearcherIndex Searcher) override;
-  void onAttemptEnded(common::SearcherIndex Searcher) override;
+  void onAttemptEnded(common::SearcherIndex Searcher,
+                      query::AttemptStatus Status) override;
 
   /// Attempts that run on a searcher.
   std::uint32_t inFlight(common::SearcherIndex Searcher) const;
@@ -31,6 +33,13 @@
 private:
   using Positions = std::span<const std::uint32_t>;
 
+  /// Whether a replica that does not fail is only held back by its quota.
+  bool isHealthyOneBusy(const query::ServiceView &Service,
+                        const query::ShardView &Shard,
+                        Positions Excluded) const;
+  std::optional<std::uint32_t> chooseOfTwo(const query::ServiceView &Service,
+                                           const query::ShardView &Shard,
+                                           Positions Excluded);
   SearcherLoad &loadOf(common::SearcherIndex Searcher);
   bool isEligible(const query::ServiceView &Service, std::uint32_t Position,
                   Positions Excluded) const;
@@ -45,6 +54,8 @@
                                           std::optional<std::uint32_t> Other);
 
   common::RandomSource &Random;
+  /// The choice under way leaves out failing searchers.
+  bool AvoidsFailing = true;
   /// By SearcherIndex.
   std::vector<SearcherLoad> Loads;
 };
--- a/Source/Routing/SearcherLoad.h
+++ b/Source/Routing/SearcherLoad.h
@@ -14,6 +14,8 @@
   /// 0 for a searcher that may not get new attempts: ejected, leaving or not
   /// in the newest view.
   std::uint32_t Quota = 0;
+  /// Moving average of failed attempts, in [0, 1].
+  float FailureRate = 0.0F;
 };
 
 } // namespace acaciacross::routing
--- a/Source/UnitTests/Routing/PowerOfTwoSelectorTest.cpp
+++ b/Source/UnitTests/Routing/PowerOfTwoSelectorTest.cpp
@@ -76,7 +76,8 @@
   const auto Chosen = this->choose(50, true);
   for (std::uint32_t Position = 0; Position < 4; ++Position)
     EXPECT_EQ(Chosen.at(Position), 2) << Position;
-  this->Selector.onAttemptEnded(common::SearcherIndex(3));
+  this->Selector.onAttemptEnded(common::SearcherIndex(3),
+                                query::AttemptStatus::Answered);
   EXPECT_EQ(this->Selector.select(this->View, this->Shard, {}), 3U);
 }
 
@@ -103,4 +104,50 @@
   EXPECT_NEAR(Chosen.at(0), 20, 1);
 }
 
+// A searcher that fails at once always looks idle; chosen by load alone it
+// would get most of the attempts.
+TEST_F(PowerOfTwoSelectorTest, FailingSearcherGetsOnlyProbes) {
+  for (int I = 0; I < 10; ++I)
+    this->Selector.onAttemptEnded(common::SearcherIndex(2),
+                                  query::AttemptStatus::Lost);
+  const auto Chosen = this->choose(1000, false);
+  EXPECT_GT(Chosen.at(2), 0) << "no probe would show that it works again";
+  EXPECT_LT(Chosen.at(2), 40);
+}
+
+TEST_F(PowerOfTwoSelectorTest, SearcherThatAnswersAgainGetsItsFullPart) {
+  for (int I = 0; I < 10; ++I)
+    this->Selector.onAttemptEnded(common::SearcherIndex(2),
+                                  query::AttemptStatus::Lost);
+  for (int I = 0; I < 10; ++I)
+    this->Selector.onAttemptEnded(common::SearcherIndex(2),
+                                  query::AttemptStatus::Answered);
+  EXPECT_GT(this->choose(1000, false).at(2), 150);
+}
+
+// Avoiding all replicas would lose a shard that might still answer.
+TEST_F(PowerOfTwoSelectorTest, FailingSearchersAreChosenWhenNoOtherIsLeft) {
+  for (std::uint32_t Searcher = 0; Searcher < 4; ++Searcher)
+    for (int I = 0; I < 10; ++I)
+      this->Selector.onAttemptEnded(common::SearcherIndex(Searcher),
+                                    query::AttemptStatus::Lost);
+  EXPECT_TRUE(this->Selector.select(this->View, this->Shard, {}));
+}
+
+// The healthy replica of a shard is free again after milliseconds; the failing
+// one would lose the attempt and with it budget or coverage.
+TEST_F(PowerOfTwoSelectorTest, BusyHealthyReplicaIsWaitedForNotReplaced) {
+  this->View.Searchers[0].ConnectionQuota = 1;
+  this->Selector.updateView(this->View);
+  for (std::uint32_t Searcher = 1; Searcher < 4; ++Searcher)
+    for (int I = 0; I < 10; ++I)
+      this->Selector.onAttemptEnded(common::SearcherIndex(Searcher),
+                                    query::AttemptStatus::Lost);
+  this->Selector.onAttemptStarted(common::SearcherIndex(0));
+  int Chosen = 0;
+  for (const auto &[Position, Count] : this->choose(1000, false))
+    Chosen += Count;
+  EXPECT_LT(Chosen, 40) << "more than probes";
+}
+
 } // namespace acaciacross::routing
