Traffic: Poll the health and load pages of searchers

Nothing read the searchers' pages, so that a drain without requests was seen from the VM list only, up to a minute late.

Polls run on the multi handle of the attempts, so that they count within its connection limit. A reply that is no valid page counts as nothing.

A page that was polled at an old address is dropped, because a searcher at a new address is another process.

--- a/Source/Control/ControlState.cpp
+++ b/Source/Control/ControlState.cpp
@@ -126,6 +126,13 @@
   this->takeUpstreamChanges();
 }
 
+void ControlState::applyPages(const std::vector<upstreams::PolledPage> &Batch) {
+  const common::MonotonicTime Now = this->Time.monotonicNow();
+  for (const upstreams::PolledPage &Polled : Batch)
+    this->Upstreams.applyPage(Polled, Now);
+  this->takeUpstreamChanges();
+}
+
 void ControlState::applyVmList(std::vector<VmListEntry> Entries) {
   std::map<common::SearcherIndex, bool> Listed;
   for (const VmListEntry &Entry : Entries) {
--- a/Source/Control/ControlState.h
+++ b/Source/Control/ControlState.h
@@ -11,6 +11,7 @@
 #include "Control/ServiceViewBuilder.h"
 #include "Control/UpstreamEvidence.h"
 #include "Control/VmListEntry.h"
+#include "Upstreams/PolledPage.h"
 #include "Upstreams/UpstreamTracker.h"
 
 #include <map>
@@ -61,6 +62,8 @@
                    const upstreams::HealthPage &Page);
   void applyLoad(common::SearcherIndex Searcher,
                  const upstreams::LoadPage &Page);
+  /// Pages that were polled where the searcher no longer is are passed over.
+  void applyPages(const std::vector<upstreams::PolledPage> &Batch);
   void applyVmList(std::vector<VmListEntry> Entries);
   /// Entry VMs and upstreams of the last list; empty before the first one.
   const std::vector<VmListEntry> &vmList() const;
--- a/Source/Control/ControlThread.cpp
+++ b/Source/Control/ControlThread.cpp
@@ -22,6 +22,12 @@
   });
 }
 
+void ControlThread::reportPages(std::vector<upstreams::PolledPage> Batch) {
+  this->Loop->postOptional([Pages = std::move(Batch)](ControlState &State) {
+    State.applyPages(Pages);
+  });
+}
+
 void ControlThread::addListener(ViewListener &Listener) {
   this->Loop->addListener(Listener);
 }
--- a/Source/Control/ControlThread.h
+++ b/Source/Control/ControlThread.h
@@ -31,8 +31,10 @@
   /// after stop they are dropped.
   void post(std::function<void(ControlState &)> Task);
 
-  /// Thread-safe. Evidence is dropped when the control thread is far behind.
+  /// Thread-safe. Evidence and pages are dropped when the control thread is far
+  /// behind.
   void report(std::vector<UpstreamEvidence> Batch) override;
+  void reportPages(std::vector<upstreams::PolledPage> Batch) override;
 
   /// Only before start. The listener must outlive the thread.
   void addListener(ViewListener &Listener);
--- a/Source/Json/JsonObject.cpp
+++ b/Source/Json/JsonObject.cpp
@@ -13,7 +13,8 @@
 
 namespace {
 
-using MemberValue = std::variant<std::monostate, std::string, std::uint64_t>;
+using MemberValue =
+    std::variant<std::monostate, std::string, std::uint64_t, bool>;
 
 // The iterative parser needs no stack per level: a text of a million opening
 // brackets would overflow the stack of the recursive one.
@@ -29,6 +30,7 @@
 
   // NOLINTBEGIN(readability-identifier-naming): names that the reader calls.
   bool Default() { return this->add(std::monostate()); }
+  bool Bool(bool Value) { return this->add(Value); }
   bool Uint(unsigned Number) { return this->add(std::uint64_t{Number}); }
   bool Uint64(std::uint64_t Number) { return this->add(Number); }
   bool String(const char *Text, rapidjson::SizeType Length, bool) {
@@ -109,6 +111,14 @@
   return Number ? std::optional(*Number) : std::nullopt;
 }
 
+std::optional<bool> JsonObject::boolean(const std::string &Name) const {
+  const auto Found = this->Members.find(Name);
+  if (Found == this->Members.end())
+    return std::nullopt;
+  const auto *Value = std::get_if<bool>(&Found->second);
+  return Value ? std::optional(*Value) : std::nullopt;
+}
+
 bool JsonObject::has(const std::string &Name) const {
   return this->Members.contains(Name);
 }
--- a/Source/Json/JsonObject.h
+++ b/Source/Json/JsonObject.h
@@ -11,7 +11,8 @@
 
 namespace acaciacross::json {
 
-/// The members of one JSON object that are strings or unsigned integers.
+/// The members of one JSON object that are strings, unsigned integers or
+/// booleans.
 /// Members of other types are known by name only.
 class JsonObject {
 public:
@@ -25,6 +26,7 @@
   /// Empty when there is no member of that name and type.
   std::optional<std::string> string(const std::string &Name) const;
   std::optional<std::uint64_t> unsignedInteger(const std::string &Name) const;
+  std::optional<bool> boolean(const std::string &Name) const;
 
   bool has(const std::string &Name) const;
 
@@ -32,7 +34,7 @@
   bool hasOnly(std::initializer_list<std::string_view> Allowed) const;
 
 private:
-  using Value = std::variant<std::monostate, std::string, std::uint64_t>;
+  using Value = std::variant<std::monostate, std::string, std::uint64_t, bool>;
 
   static bool read(std::string_view Text, JsonObject &Object);
 
--- a/Source/Traffic/CurlAttemptPort.cpp
+++ b/Source/Traffic/CurlAttemptPort.cpp
@@ -15,26 +15,31 @@
                         "curl_multi_init failed");
   ::curl_multi_setopt(this->Multi, CURLMOPT_PIPELINING,
                       static_cast<long>(CURLPIPE_NOTHING));
+  this->Pages.emplace(this->Multi);
 }
 
 CurlAttemptPort::~CurlAttemptPort() {
   for (const auto &[Id, Transfer] : this->Transfers)
     ::curl_multi_remove_handle(this->Multi, Transfer->handle());
   this->Transfers.clear();
+  this->Pages.reset();
   ::curl_multi_cleanup(this->Multi);
 }
 
 // Without CURLMOPT_MAXCONNECTS libcurl keeps four connections per running
 // transfer and would close idle ones that the next query needs.
-void CurlAttemptPort::setConnectionLimits(std::uint32_t PerSearcher,
+void CurlAttemptPort::setConnectionLimits(std::uint32_t Quota,
                                           std::uint32_t Kept) {
+  this->PerSearcher = std::max(Quota, 1U);
   ::curl_multi_setopt(this->Multi, CURLMOPT_MAX_HOST_CONNECTIONS,
-                      static_cast<long>(std::max(PerSearcher, 1U)));
+                      static_cast<long>(this->PerSearcher));
   ::curl_multi_setopt(this->Multi, CURLMOPT_MAXCONNECTS,
                       static_cast<long>(std::max(Kept, 1U)));
 }
 
 void CurlAttemptPort::start(const query::AttemptSpec &Spec) {
+  if (!this->hasRoom(Spec.Searcher))
+    this->Pages->giveUp(Spec.Searcher);
   auto Transfer = std::make_unique<CurlTransfer>(Spec, this->Ticker);
   const bool IsAdded =
       Transfer->handle() &&
@@ -44,6 +49,7 @@
     return;
   }
   this->Transfers.emplace(Spec.Id, std::move(Transfer));
+  ++this->RunningAt[Spec.Searcher];
 }
 
 void CurlAttemptPort::cancel(const common::AttemptId &Id) {
@@ -54,6 +60,7 @@
   if (Found == this->Transfers.end())
     return;
   ::curl_multi_remove_handle(this->Multi, Found->second->handle());
+  this->noteEnded(Found->second->spec().Searcher);
   this->Transfers.erase(Found);
 }
 
@@ -73,16 +80,44 @@
     // Removing the handle frees the message.
     const CURLcode Code = Message->data.result;
     CURL *Easy = Message->easy_handle;
+    if (this->Pages->finish(Easy, Code))
+      continue;
     char *Private = nullptr;
     ::curl_easy_getinfo(Easy, CURLINFO_PRIVATE, &Private);
     const auto *Transfer =
         static_cast<const CurlTransfer *>(static_cast<void *>(Private));
     Ended.push_back(Transfer->end(Code));
     ::curl_multi_remove_handle(this->Multi, Easy);
+    this->noteEnded(Ended.back().Searcher);
     this->Transfers.erase(Ended.back().Result.Attempt);
   }
 }
 
+void CurlAttemptPort::noteEnded(common::SearcherIndex Searcher) {
+  const auto Count = this->RunningAt.find(Searcher);
+  if (--Count->second == 0)
+    this->RunningAt.erase(Count);
+}
+
+std::uint32_t CurlAttemptPort::running(common::SearcherIndex Searcher) const {
+  const auto Count = this->RunningAt.find(Searcher);
+  const std::uint32_t Attempts =
+      Count == this->RunningAt.end() ? 0 : Count->second;
+  return Attempts + (this->Pages->isRunning(Searcher) ? 1 : 0);
+}
+
+bool CurlAttemptPort::hasRoom(common::SearcherIndex Searcher) const {
+  return this->running(Searcher) < this->PerSearcher;
+}
+
+void CurlAttemptPort::startPoll(const PagePoll &Poll) {
+  this->Pages->start(Poll);
+}
+
+std::vector<EndedPoll> CurlAttemptPort::takeEndedPolls() {
+  return this->Pages->takeEnded();
+}
+
 void CurlAttemptPort::wait(std::chrono::milliseconds Limit) {
   if (!this->EndedAtStart.empty())
     Limit = std::chrono::milliseconds::zero();
--- a/Source/Traffic/CurlAttemptPort.h
+++ b/Source/Traffic/CurlAttemptPort.h
@@ -5,20 +5,24 @@
 #include "Query/AttemptPort.h"
 #include "Traffic/CurlTransfer.h"
 #include "Traffic/EndedAttempt.h"
+#include "Traffic/PagePort.h"
+#include "Traffic/PollRoom.h"
 
 #include <curl/curl.h>
 
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
 namespace acaciacross::traffic {
 
-/// Sends attempts over HTTP/1.1 through one libcurl multi handle. All but wake
-/// belongs to one thread.
-class CurlAttemptPort final : public query::AttemptPort {
+/// Sends attempts and polls over HTTP/1.1 through one libcurl multi handle, so
+/// that both count within one connection limit. All but wake belongs to one
+/// thread.
+class CurlAttemptPort final : public query::AttemptPort, public PollRoom {
 public:
   explicit CurlAttemptPort(const common::Clock &Time);
   ~CurlAttemptPort() override;
@@ -27,13 +31,19 @@
   CurlAttemptPort &operator=(const CurlAttemptPort &) = delete;
 
   /// Connections to each searcher, and connections kept in all.
-  void setConnectionLimits(std::uint32_t PerSearcher, std::uint32_t Kept);
+  void setConnectionLimits(std::uint32_t Quota, std::uint32_t Kept);
 
+  /// Gives up a poll that would hold up the attempt.
   void start(const query::AttemptSpec &Spec) override;
 
   /// Closes the connection of the attempt, which tells the searcher to stop.
   void cancel(const common::AttemptId &Id) override;
 
+  bool hasRoom(common::SearcherIndex Searcher) const override;
+  void startPoll(const PagePoll &Poll);
+  /// Polls that ended before or during the last perform.
+  std::vector<EndedPoll> takeEndedPolls();
+
   /// Sends and receives what is possible without waiting; gives the attempts
   /// that ended.
   std::vector<EndedAttempt> perform();
@@ -46,11 +56,17 @@
 
 private:
   void collectEnded(std::vector<EndedAttempt> &Ended);
+  void noteEnded(common::SearcherIndex Searcher);
+  std::uint32_t running(common::SearcherIndex Searcher) const;
 
   const common::Clock &Ticker;
   CURLM *Multi;
   std::unordered_map<common::AttemptId, std::unique_ptr<CurlTransfer>>
       Transfers;
+  /// Running attempts; searchers without any have no entry.
+  std::unordered_map<common::SearcherIndex, std::uint32_t> RunningAt;
+  std::uint32_t PerSearcher = 1;
+  std::optional<PagePort> Pages;
   /// Ended within start; given out by perform, so that a query is not called
   /// back while it starts an attempt.
   std::vector<EndedAttempt> EndedAtStart;
--- a/Source/Traffic/CurlTransfer.cpp
+++ b/Source/Traffic/CurlTransfer.cpp
@@ -1,5 +1,6 @@
 #include "Traffic/CurlTransfer.h"
 
+#include "Traffic/DrainHeader.h"
 #include "Traffic/UpstreamCodec.h"
 
 #include <algorithm>
@@ -8,8 +9,6 @@
 #include <optional>
 #include <string_view>
 
-#include <strings.h>
-
 namespace acaciacross::traffic {
 
 namespace {
@@ -21,19 +20,6 @@
 // repeats a lost SYN only after a second, too late for a target of 80 ms.
 constexpr long ConnectTimeoutMs = 250;
 
-constexpr std::string_view DrainHeader = "x-draining:";
-
-bool isDrainHeader(std::string_view Line) {
-  if (Line.size() < DrainHeader.size() ||
-      ::strncasecmp(Line.data(), DrainHeader.data(), DrainHeader.size()) != 0)
-    return false;
-  Line.remove_prefix(DrainHeader.size());
-  const std::size_t First = Line.find_first_not_of(" \t");
-  if (First == std::string_view::npos || Line[First] != '1')
-    return false;
-  return Line.find_first_not_of(" \t\r\n", First + 1) == std::string_view::npos;
-}
-
 } // namespace
 
 CurlTransfer::CurlTransfer(const query::AttemptSpec &Attempt,
--- /dev/null
+++ b/Source/Traffic/PageKind.h
@@ -0,0 +1,11 @@
+#ifndef ACACIACROSS_TRAFFIC_PAGEKIND_H
+#define ACACIACROSS_TRAFFIC_PAGEKIND_H
+
+namespace acaciacross::traffic {
+
+/// The pages of a searcher.
+enum class PageKind { Health, Load };
+
+} // namespace acaciacross::traffic
+
+#endif
--- /dev/null
+++ b/Source/Traffic/PagePort.cpp
@@ -0,0 +1,52 @@
+#include "Traffic/PagePort.h"
+
+#include <utility>
+
+namespace acaciacross::traffic {
+
+PagePort::PagePort(CURLM *Shared) : Multi(Shared) {}
+
+PagePort::~PagePort() {
+  for (const auto &[Easy, Transfer] : this->Transfers)
+    ::curl_multi_remove_handle(this->Multi, Easy);
+}
+
+void PagePort::start(const PagePoll &Poll) {
+  auto Transfer = std::make_unique<PageTransfer>(Poll);
+  CURL *Easy = Transfer->handle();
+  const bool IsAdded = !this->isRunning(Poll.Searcher) && Easy &&
+                       ::curl_multi_add_handle(this->Multi, Easy) == CURLM_OK;
+  if (!IsAdded) {
+    this->Ended.push_back({Poll, {}});
+    return;
+  }
+  this->BySearcher.emplace(Poll.Searcher, Easy);
+  this->Transfers.emplace(Easy, std::move(Transfer));
+}
+
+void PagePort::giveUp(common::SearcherIndex Searcher) {
+  const auto Found = this->BySearcher.find(Searcher);
+  if (Found != this->BySearcher.end())
+    this->finish(Found->second, CURLE_ABORTED_BY_CALLBACK);
+}
+
+bool PagePort::isRunning(common::SearcherIndex Searcher) const {
+  return this->BySearcher.contains(Searcher);
+}
+
+bool PagePort::finish(CURL *Easy, CURLcode Code) {
+  const auto Found = this->Transfers.find(Easy);
+  if (Found == this->Transfers.end())
+    return false;
+  this->Ended.push_back(Found->second->end(Code));
+  ::curl_multi_remove_handle(this->Multi, Easy);
+  this->BySearcher.erase(Found->second->poll().Searcher);
+  this->Transfers.erase(Found);
+  return true;
+}
+
+std::vector<EndedPoll> PagePort::takeEnded() {
+  return std::exchange(this->Ended, {});
+}
+
+} // namespace acaciacross::traffic
--- a/Source/Traffic/TrafficWorker.cpp
+++ b/Source/Traffic/TrafficWorker.cpp
@@ -11,11 +11,15 @@
 // Nothing depends on this wait ending early: posts and sockets wake the thread.
 constexpr std::chrono::milliseconds LongestWait{1000};
 
+// The engine draws from the seed itself; the polls must not draw the same.
+constexpr std::uint64_t PollSeed = 0x9e3779b97f4a7c15;
+
 } // namespace
 
 TrafficWorker::TrafficWorker(EngineSettings Chosen, const common::Clock &Time,
                              control::EvidenceSink &Evidence)
     : Ticker(Time), Name(Chosen.Service), Sink(Evidence), Port(Time),
+      PollRandom(PollSeed ^ Chosen.RandomSeed), Polls({}, this->PollRandom),
       Engine(std::move(Chosen), this->Port, Time),
       Tasks([this] { this->Port.wake(); }), Thread([this] { this->run(); }) {}
 
@@ -30,6 +34,10 @@
     std::shared_ptr<const control::ControlView> View) {
   this->post([this, Newest = std::move(View)](ServiceEngine &Each) {
     this->applyLimits(*Newest);
+    const auto Service = Newest->Services.find(this->Name);
+    this->Polls.updateService(
+        Service == Newest->Services.end() ? nullptr : Service->second,
+        this->Ticker.monotonicNow());
     Each.updateView(*Newest);
   });
 }
@@ -72,6 +80,7 @@
       Work(this->Engine);
     this->Engine.onAttemptsEnded(this->Port.perform());
     this->Engine.onTimers();
+    this->poll();
     if (auto Evidence = this->Engine.takeEvidence(); !Evidence.empty())
       this->Sink.report(std::move(Evidence));
     if (this->isOver())
@@ -81,6 +90,22 @@
   this->Engine.abortAll();
 }
 
+// After the attempts of this turn, which come first.
+void TrafficWorker::poll() {
+  std::vector<upstreams::PolledPage> Pages;
+  for (const EndedPoll &Ended : this->Port.takeEndedPolls()) {
+    if (const auto Next = this->Polls.onEnded(Ended, this->Port))
+      this->Port.startPoll(*Next);
+    if (Ended.Page)
+      Pages.push_back(*Ended.Page);
+  }
+  if (!Pages.empty())
+    this->Sink.reportPages(std::move(Pages));
+  const common::MonotonicTime Now = this->Ticker.monotonicNow();
+  for (const PagePoll &Due : this->Polls.takeDue(Now, this->Port))
+    this->Port.startPoll(Due);
+}
+
 bool TrafficWorker::isOver() const {
   return this->IsStopping && (this->Engine.openCount() == 0 ||
                               this->Ticker.monotonicNow() >= this->StopAt);
@@ -90,6 +115,8 @@
   common::MonotonicTime Next = this->Ticker.monotonicNow() + LongestWait;
   if (const auto Timer = this->Engine.nextTimer())
     Next = std::min(Next, *Timer);
+  if (const auto Due = this->Polls.nextDue())
+    Next = std::min(Next, *Due);
   if (this->IsStopping)
     Next = std::min(Next, this->StopAt);
   // Rounded up: a wait that ends before the timer would be repeated at once.
--- a/Source/Traffic/TrafficWorker.h
+++ b/Source/Traffic/TrafficWorker.h
@@ -2,9 +2,11 @@
 #define ACACIACROSS_TRAFFIC_TRAFFICWORKER_H
 
 #include "Common/Clock.h"
+#include "Common/SeededRandom.h"
 #include "Control/EvidenceSink.h"
 #include "Traffic/CurlAttemptPort.h"
 #include "Traffic/Mailbox.h"
+#include "Traffic/PollSchedule.h"
 #include "Traffic/ServiceEngine.h"
 
 #include <chrono>
@@ -39,6 +41,7 @@
 
 private:
   void run();
+  void poll();
   bool isOver() const;
   std::chrono::milliseconds untilNextEvent() const;
   void applyLimits(const control::ControlView &View);
@@ -47,6 +50,8 @@
   common::ServiceName Name;
   control::EvidenceSink &Sink;
   CurlAttemptPort Port;
+  common::SeededRandom PollRandom;
+  PollSchedule Polls;
   ServiceEngine Engine;
   Mailbox<Task> Tasks;
   bool IsStopping = false;
--- a/Source/UnitTests/Traffic/IgnoredEvidence.h
+++ b/Source/UnitTests/Traffic/IgnoredEvidence.h
@@ -9,6 +9,7 @@
 class IgnoredEvidence final : public control::EvidenceSink {
 public:
   void report(std::vector<control::UpstreamEvidence>) override {}
+  void reportPages(std::vector<upstreams::PolledPage>) override {}
 };
 
 } // namespace acaciacross::traffic
--- /dev/null
+++ b/Source/UnitTests/Traffic/PagePollTest.cpp
@@ -0,0 +1,152 @@
+#include "Traffic/CurlAttemptPort.h"
+
+#include "Common/SystemClock.h"
+#include "RawUpstream.h"
+
+#include <gtest/gtest.h>
+
+namespace acaciacross::traffic {
+
+using std::chrono::milliseconds;
+using upstreams::HealthStatus;
+
+class PagePollTest : public testing::Test {
+protected:
+  static std::string makeResponse(const std::string &Status,
+                                  const std::string &Body,
+                                  const std::string &Extra = "") {
+    return "HTTP/1.1 " + Status + "\r\n" + Extra +
+           "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+  }
+
+  EndedPoll poll(const common::Address &Endpoint, PageKind Kind) {
+    this->Port.startPoll({common::SearcherIndex(0), Endpoint, Kind});
+    return this->awaitPoll();
+  }
+
+  EndedPoll awaitPoll() {
+    std::vector<EndedPoll> Ended = this->Port.takeEndedPolls();
+    while (Ended.empty()) {
+      this->Port.perform();
+      Ended = this->Port.takeEndedPolls();
+      if (Ended.empty())
+        this->Port.wait(milliseconds(1000));
+    }
+    EXPECT_EQ(Ended.size(), 1U);
+    return Ended[0];
+  }
+
+  /// The status that the response gives; empty when it gives no page.
+  std::optional<HealthStatus> healthOf(const std::string &Response) {
+    RawUpstream Upstream(
+        [&](std::size_t, const std::string &) { return Response; });
+    const EndedPoll Ended = this->poll(Upstream.endpoint(), PageKind::Health);
+    EXPECT_EQ(Upstream.requests().at(0).substr(0, 22),
+              "GET /health HTTP/1.1\r\n");
+    if (!Ended.Page)
+      return std::nullopt;
+    return std::get<upstreams::HealthPage>(Ended.Page->Page).Status;
+  }
+
+  common::SystemClock Time;
+  CurlAttemptPort Port{Time};
+};
+
+TEST_F(PagePollTest, HealthResponsesGiveTheirStatus) {
+  const std::string Rest = R"(,"snapshots":["s"],"cold":false})";
+  const std::string Serving = R"({"status":"serving")" + Rest;
+  EXPECT_EQ(this->healthOf(makeResponse("200 OK", Serving)),
+            HealthStatus::InService);
+  EXPECT_EQ(
+      this->healthOf(makeResponse("200 OK", R"({"status":"leaving")" + Rest)),
+      HealthStatus::Draining);
+  // The header is set on every response and does not lag.
+  EXPECT_EQ(
+      this->healthOf(makeResponse("200 OK", Serving, "X-Draining: 1\r\n")),
+      HealthStatus::Draining);
+  EXPECT_EQ(this->healthOf(makeResponse("500 Fault", "")),
+            HealthStatus::Failing);
+}
+
+// A page that cannot be read is no evidence of anything.
+TEST_F(PagePollTest, InvalidHealthResponsesGiveNoPage) {
+  for (const char *Body :
+       {"", "{", "[]", R"({"status":"serving"})",
+        R"({"status":"serving","snapshots":[],"cold":0})",
+        R"({"status":"serving","snapshots":[],"cold":"no"})",
+        R"({"status":"other","snapshots":[],"cold":false})",
+        R"({"status":7,"snapshots":[],"cold":false})",
+        R"({"status":"serving","snapshots":[],"cold":false} x)"})
+    EXPECT_FALSE(this->healthOf(makeResponse("200 OK", Body))) << Body;
+  EXPECT_FALSE(this->healthOf(makeResponse("404 No", "")));
+  EXPECT_FALSE(
+      this->healthOf(makeResponse("200 OK", std::string(100'000, ' '))));
+  EXPECT_FALSE(this->healthOf(""));
+}
+
+TEST_F(PagePollTest, LoadResponseGivesItsNumbersOrNothing) {
+  std::string Body;
+  RawUpstream Upstream([&](std::size_t, const std::string &) {
+    return makeResponse("200 OK", Body);
+  });
+  Body = R"({"busy":1,"queued":4294967295,"slots":2})";
+  const EndedPoll Valid = this->poll(Upstream.endpoint(), PageKind::Load);
+  ASSERT_TRUE(Valid.Page);
+  const auto Page = std::get<upstreams::LoadPage>(Valid.Page->Page);
+  EXPECT_EQ(Page.Busy, 1U);
+  EXPECT_EQ(Page.Queued, 4294967295U);
+  EXPECT_EQ(Page.Slots, 2U);
+  for (const char *Invalid :
+       {R"({"busy":1,"queued":4294967296,"slots":2})",
+        R"({"busy":-1,"queued":0,"slots":2})",
+        R"({"busy":1,"queued":0,"slots":0})",
+        R"({"busy":1.5,"queued":0,"slots":2})", R"({"busy":1,"queued":0})"}) {
+    Body = Invalid;
+    EXPECT_FALSE(this->poll(Upstream.endpoint(), PageKind::Load).Page)
+        << Invalid;
+  }
+}
+
+TEST_F(PagePollTest, RefusedConnectionIsRefused) {
+  common::Address Unused;
+  {
+    RawUpstream Upstream(
+        [](std::size_t, const std::string &) { return std::string(); });
+    Unused = Upstream.endpoint();
+  }
+  const EndedPoll Ended = this->poll(Unused, PageKind::Health);
+  ASSERT_TRUE(Ended.Page);
+  EXPECT_EQ(std::get<upstreams::HealthPage>(Ended.Page->Page).Status,
+            HealthStatus::Refused);
+}
+
+// A page that never comes must not keep an attempt from the last connection.
+TEST_F(PagePollTest, AttemptThatNeedsTheConnectionEndsThePoll) {
+  RawUpstream Upstream([](std::size_t Number, const std::string &) {
+    return Number == 0 ? std::string("HTTP/1.1 200 OK\r\n")
+                       : makeResponse("503 Shed", "");
+  });
+  this->Port.setConnectionLimits(1, 1);
+  this->Port.startPoll(
+      {common::SearcherIndex(0), Upstream.endpoint(), PageKind::Health});
+  while (Upstream.requests().empty()) {
+    this->Port.perform();
+    this->Port.wait(milliseconds(10));
+  }
+  EXPECT_FALSE(this->Port.hasRoom(common::SearcherIndex(0)));
+  query::AttemptSpec Spec;
+  Spec.Id = {common::Incarnation(7), 0};
+  Spec.Endpoint = Upstream.endpoint();
+  Spec.Deadline = this->Time.monotonicNow() + milliseconds(5000);
+  this->Port.start(Spec);
+  EXPECT_FALSE(this->awaitPoll().Page);
+  std::vector<EndedAttempt> Ended = this->Port.perform();
+  while (Ended.empty()) {
+    this->Port.wait(milliseconds(1000));
+    Ended = this->Port.perform();
+  }
+  EXPECT_EQ(Ended[0].Result.Status, query::AttemptStatus::Shed);
+  EXPECT_TRUE(this->Port.hasRoom(common::SearcherIndex(0)));
+}
+
+} // namespace acaciacross::traffic
--- a/Source/Upstreams/UpstreamTracker.cpp
+++ b/Source/Upstreams/UpstreamTracker.cpp
@@ -147,6 +147,17 @@
   this->refreshShare(*State, Now);
 }
 
+void UpstreamTracker::applyPage(const PolledPage &Polled,
+                                common::MonotonicTime Now) {
+  const SearcherState *State = this->find(Polled.Searcher);
+  if (State == nullptr || State->Identity.Endpoint != Polled.Endpoint)
+    return;
+  if (const auto *Health = std::get_if<HealthPage>(&Polled.Page))
+    this->applyHealth(Polled.Searcher, *Health, Now);
+  else
+    this->applyLoad(Polled.Searcher, std::get<LoadPage>(Polled.Page), Now);
+}
+
 void UpstreamTracker::applyVmList(
     const std::map<common::SearcherIndex, bool> &Listed,
     common::MonotonicTime Now) {
--- a/Source/Upstreams/UpstreamTracker.h
+++ b/Source/Upstreams/UpstreamTracker.h
@@ -4,6 +4,7 @@
 #include "Query/SearcherAvailability.h"
 #include "Upstreams/DrainNotice.h"
 #include "Upstreams/Ejector.h"
+#include "Upstreams/PolledPage.h"
 #include "Upstreams/UpstreamEvidence.h"
 
 #include <map>
@@ -36,6 +37,8 @@
                    common::MonotonicTime Now);
   void applyLoad(common::SearcherIndex Searcher, const LoadPage &Page,
                  common::MonotonicTime Now);
+  /// Passed over when the searcher has another address by now.
+  void applyPage(const PolledPage &Polled, common::MonotonicTime Now);
   /// The whole VM list: searchers in it with whether they are leaving.
   void applyVmList(const std::map<common::SearcherIndex, bool> &Listed,
                    common::MonotonicTime Now);
