Traffic: Close connections above a quota that has fallen

libcurl's limit per host keeps it from opening connections, but leaves idle ones open, so that a VM kept more connections than a new document allowed it. UpstreamSockets counts the sockets that libcurl opens and closes, and shuts down idle ones above the quota; libcurl drops such a connection before it would use it again. Starting a new multi handle was ruled out: its connections and those of the old one together could be above both quotas. Busy connections are closed when their attempts end.

In the VM's own count, 100 rounds of cancelling one of two attempts and starting another never held more than 2 connections.

--- a/Source/Traffic/CurlAttemptPort.cpp
+++ b/Source/Traffic/CurlAttemptPort.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 #include <utility>
 
 namespace acaciacross::traffic {
@@ -15,7 +16,7 @@
                         "curl_multi_init failed");
   ::curl_multi_setopt(this->Multi, CURLMOPT_PIPELINING,
                       static_cast<long>(CURLPIPE_NOTHING));
-  this->Pages.emplace(this->Multi);
+  this->Pages.emplace(this->Multi, this->Sockets);
 }
 
 CurlAttemptPort::~CurlAttemptPort() {
@@ -30,17 +31,24 @@
 // transfer and would close idle ones that the next query needs.
 void CurlAttemptPort::setConnectionLimits(std::uint32_t Quota,
                                           std::uint32_t Kept) {
+  this->HasExcess = this->HasExcess || Quota < this->PerSearcher;
   this->PerSearcher = std::max(Quota, 1U);
   ::curl_multi_setopt(this->Multi, CURLMOPT_MAX_HOST_CONNECTIONS,
                       static_cast<long>(this->PerSearcher));
   ::curl_multi_setopt(this->Multi, CURLMOPT_MAXCONNECTS,
                       static_cast<long>(std::max(Kept, 1U)));
+  if (this->HasExcess) {
+    this->Pages->giveUpAll();
+    this->closeExcess();
+  }
 }
 
 void CurlAttemptPort::start(const query::AttemptSpec &Spec) {
   if (!this->hasRoom(Spec.Searcher))
     this->Pages->giveUp(Spec.Searcher);
   auto Transfer = std::make_unique<CurlTransfer>(Spec, this->Ticker);
+  if (Transfer->handle())
+    this->Sockets.attach(Transfer->handle());
   const bool IsAdded =
       Transfer->handle() &&
       ::curl_multi_add_handle(this->Multi, Transfer->handle()) == CURLM_OK;
@@ -69,6 +77,8 @@
   ::curl_multi_perform(this->Multi, &Running);
   std::vector<EndedAttempt> Ended = std::exchange(this->EndedAtStart, {});
   this->collectEnded(Ended);
+  if (this->HasExcess)
+    this->closeExcess();
   return Ended;
 }
 
@@ -93,6 +103,21 @@
   }
 }
 
+void CurlAttemptPort::closeExcess() {
+  std::set<std::uint16_t> BusyPorts;
+  for (const auto &[Id, Transfer] : this->Transfers)
+    BusyPorts.insert(Transfer->localPort());
+  this->HasExcess = !this->Sockets.closeIdleAbove(this->PerSearcher, BusyPorts);
+}
+
+std::size_t CurlAttemptPort::openAt(const common::Address &Endpoint) const {
+  return this->Sockets.openAt(Endpoint);
+}
+
+std::size_t CurlAttemptPort::peakConnections() const {
+  return this->Sockets.peak();
+}
+
 void CurlAttemptPort::noteEnded(common::SearcherIndex Searcher) {
   const auto Count = this->RunningAt.find(Searcher);
   if (--Count->second == 0)
--- a/Source/Traffic/CurlAttemptPort.h
+++ b/Source/Traffic/CurlAttemptPort.h
@@ -7,6 +7,7 @@
 #include "Traffic/EndedAttempt.h"
 #include "Traffic/PagePort.h"
 #include "Traffic/PollRoom.h"
+#include "Traffic/UpstreamSockets.h"
 
 #include <curl/curl.h>
 
@@ -30,7 +31,10 @@
   CurlAttemptPort(const CurlAttemptPort &) = delete;
   CurlAttemptPort &operator=(const CurlAttemptPort &) = delete;
 
-  /// Connections to each searcher, and connections kept in all.
+  /// Connections to each searcher, and connections kept in all. libcurl has one
+  /// limit for all hosts, so where the quotas of a service differ the smallest
+  /// one rules at all its searchers. After a fall, idle connections above the
+  /// quota are closed at once and busy ones when their attempts end.
   void setConnectionLimits(std::uint32_t Quota, std::uint32_t Kept);
 
   /// Gives up a poll that would hold up the attempt.
@@ -44,6 +48,10 @@
   /// Polls that ended before or during the last perform.
   std::vector<EndedPoll> takeEndedPolls();
 
+  /// Connections that this VM holds, and the most it held, to one address.
+  std::size_t openAt(const common::Address &Endpoint) const;
+  std::size_t peakConnections() const;
+
   /// Sends and receives what is possible without waiting; gives the attempts
   /// that ended.
   std::vector<EndedAttempt> perform();
@@ -59,7 +67,12 @@
   void noteEnded(common::SearcherIndex Searcher);
   std::uint32_t running(common::SearcherIndex Searcher) const;
 
+  void closeExcess();
+
   const common::Clock &Ticker;
+  /// Before what may close sockets.
+  UpstreamSockets Sockets;
+  bool HasExcess = false;
   CURLM *Multi;
   std::unordered_map<common::AttemptId, std::unique_ptr<CurlTransfer>>
       Transfers;
--- a/Source/Traffic/CurlTransfer.cpp
+++ b/Source/Traffic/CurlTransfer.cpp
@@ -77,6 +77,8 @@
 
 const query::AttemptSpec &CurlTransfer::spec() const { return this->Spec; }
 
+std::uint16_t CurlTransfer::localPort() const { return this->LocalPort; }
+
 EndedAttempt CurlTransfer::end(CURLcode Code) const {
   EndedAttempt Ended;
   Ended.Searcher = this->Spec.Searcher;
@@ -139,7 +141,7 @@
 // libcurl calls this when it has a connection and before it sends anything,
 // also before it repeats a request by itself. A transfer may have waited for a
 // connection, so the deadline is checked here.
-int CurlTransfer::beforeRequest(void *Self, char *, char *, int, int) {
+int CurlTransfer::beforeRequest(void *Self, char *, char *, int, int Port) {
   auto &Transfer = *static_cast<CurlTransfer *>(Self);
   if (Transfer.IsRequestReleased)
     return CURL_PREREQFUNC_ABORT;
@@ -147,6 +149,7 @@
     Transfer.IsDeadlineMissed = true;
     return CURL_PREREQFUNC_ABORT;
   }
+  Transfer.LocalPort = static_cast<std::uint16_t>(Port);
   Transfer.IsRequestReleased = true;
   return CURL_PREREQFUNC_OK;
 }
--- a/Source/Traffic/CurlTransfer.h
+++ b/Source/Traffic/CurlTransfer.h
@@ -8,6 +8,7 @@
 #include <curl/curl.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 
 namespace acaciacross::traffic {
@@ -26,6 +27,9 @@
 
   const query::AttemptSpec &spec() const;
 
+  /// Of its connection; 0 while it has none.
+  std::uint16_t localPort() const;
+
   /// How the attempt ended, given libcurl's result.
   EndedAttempt end(CURLcode Code) const;
 
@@ -50,6 +54,7 @@
   std::size_t BodyOffset = 0;
   std::size_t HeaderBytes = 0;
   std::string Reply;
+  std::uint16_t LocalPort = 0;
 
   /// From here on a byte of the request may have been sent.
   bool IsRequestReleased = false;
--- a/Source/Traffic/PagePort.cpp
+++ b/Source/Traffic/PagePort.cpp
@@ -4,7 +4,8 @@
 
 namespace acaciacross::traffic {
 
-PagePort::PagePort(CURLM *Shared) : Multi(Shared) {}
+PagePort::PagePort(CURLM *Shared, UpstreamSockets &Counted)
+    : Multi(Shared), Sockets(Counted) {}
 
 PagePort::~PagePort() {
   for (const auto &[Easy, Transfer] : this->Transfers)
@@ -30,6 +31,11 @@
     this->finish(Found->second, CURLE_ABORTED_BY_CALLBACK);
 }
 
+void PagePort::giveUpAll() {
+  while (!this->BySearcher.empty())
+    this->giveUp(this->BySearcher.begin()->first);
+}
+
 bool PagePort::isRunning(common::SearcherIndex Searcher) const {
   return this->BySearcher.contains(Searcher);
 }
--- a/Source/Traffic/PagePort.h
+++ b/Source/Traffic/PagePort.h
@@ -3,6 +3,7 @@
 
 #include "Traffic/EndedPoll.h"
 #include "Traffic/PageTransfer.h"
+#include "Traffic/UpstreamSockets.h"
 
 #include <curl/curl.h>
 
@@ -16,8 +17,8 @@
 /// Runs polls on a libcurl multi handle that also runs attempts.
 class PagePort {
 public:
-  /// Shared must outlive the port.
-  explicit PagePort(CURLM *Shared);
+  /// Shared and Counted must outlive the port.
+  PagePort(CURLM *Shared, UpstreamSockets &Counted);
   ~PagePort();
 
   PagePort(const PagePort &) = delete;
@@ -30,6 +31,9 @@
   /// connection.
   void giveUp(common::SearcherIndex Searcher);
 
+  /// Gives up all running polls.
+  void giveUpAll();
+
   bool isRunning(common::SearcherIndex Searcher) const;
 
   /// Takes libcurl's result; false when the transfer is not a poll.
@@ -39,6 +43,7 @@
 
 private:
   CURLM *Multi;
+  UpstreamSockets &Sockets;
   std::unordered_map<CURL *, std::unique_ptr<PageTransfer>> Transfers;
   std::map<common::SearcherIndex, CURL *> BySearcher;
   std::vector<EndedPoll> Ended;
--- /dev/null
+++ b/Source/UnitTests/Traffic/ConnectionCountTest.cpp
@@ -0,0 +1,109 @@
+#include "Traffic/CurlAttemptPort.h"
+
+#include "Common/SystemClock.h"
+#include "RawUpstream.h"
+
+#include <gtest/gtest.h>
+
+namespace acaciacross::traffic {
+
+using std::chrono::milliseconds;
+
+/// An upstream that answers the body "slow" never and others with 503.
+class ConnectionCountTest : public testing::Test {
+protected:
+  query::AttemptSpec start(const char *Body) {
+    query::AttemptSpec Spec;
+    Spec.Id = {common::Incarnation(7), this->Sequence++};
+    Spec.Endpoint = this->Upstream.endpoint();
+    Spec.Deadline = this->Time.monotonicNow() + milliseconds(10'000);
+    Spec.Body = Body;
+    this->Port.start(Spec);
+    return Spec;
+  }
+
+  template <typename Condition> void runUntil(Condition IsReached) {
+    const auto End = this->Time.monotonicNow() + milliseconds(10'000);
+    while (!IsReached() && this->Time.monotonicNow() < End) {
+      this->EndedCount += this->Port.perform().size();
+      this->Port.wait(milliseconds(5));
+    }
+    ASSERT_TRUE(IsReached());
+  }
+
+  std::size_t openHere() const {
+    return this->Port.openAt(this->Upstream.endpoint());
+  }
+
+  void runSlow(std::size_t Count) {
+    for (std::size_t I = 0; I < Count; ++I)
+      this->Slow.push_back(this->start("slow"));
+    this->runUntil([&] { return this->Upstream.requests().size() == Count; });
+  }
+
+  common::SystemClock Time;
+  RawUpstream Upstream{[](std::size_t, const std::string &Request) {
+    return Request.ends_with("slow")
+               ? std::string("HTTP/1.1 200 OK\r\n")
+               : std::string("HTTP/1.1 503 Shed\r\nContent-Length: 0\r\n\r\n");
+  }};
+  CurlAttemptPort Port{Time};
+  std::vector<query::AttemptSpec> Slow;
+  std::uint64_t Sequence = 0;
+  std::size_t EndedCount = 0;
+};
+
+// A smaller quota means that other VMs may use the connections.
+TEST_F(ConnectionCountTest, IdleConnectionsAboveAFallenQuotaAreClosed) {
+  this->Port.setConnectionLimits(4, 40);
+  for (int I = 0; I < 4; ++I)
+    this->start("");
+  this->runUntil([&] { return this->EndedCount == 4; });
+  const std::size_t Before = this->openHere();
+  ASSERT_GT(Before, 1U);
+  this->Port.setConnectionLimits(1, 10);
+  EXPECT_EQ(this->openHere(), 1U);
+  this->runUntil([&] { return this->Upstream.open() == 1; });
+  // What is left works, and a closed connection is never used.
+  this->start("");
+  this->runUntil([&] { return this->EndedCount == 5; });
+  EXPECT_EQ(this->Upstream.requests().size(), 5U);
+  EXPECT_LE(this->openHere(), 1U);
+}
+
+TEST_F(ConnectionCountTest, BusyConnectionsAboveAFallenQuotaStayTillTheirEnd) {
+  this->Port.setConnectionLimits(3, 30);
+  this->runSlow(3);
+  this->Port.setConnectionLimits(1, 10);
+  EXPECT_EQ(this->openHere(), 3U);
+  this->Port.cancel(this->Slow[0].Id);
+  this->start("");
+  this->Port.perform();
+  EXPECT_EQ(this->openHere(), 2U);
+  this->Port.cancel(this->Slow[1].Id);
+  this->Port.cancel(this->Slow[2].Id);
+  this->runUntil([&] { return this->EndedCount == 1; });
+  EXPECT_EQ(this->openHere(), 1U);
+}
+
+// A hedge that wins cancels the other attempt, and the next query follows at
+// once.
+TEST_F(ConnectionCountTest, CancelledAttemptsNeverTakeThisVmAboveTheQuota) {
+  constexpr std::size_t Rounds = 100;
+  this->Port.setConnectionLimits(2, 2);
+  this->runSlow(2);
+  for (std::size_t Round = 0; Round < Rounds; ++Round) {
+    const std::size_t Received = this->Upstream.requests().size();
+    this->Port.cancel(this->Slow[Round].Id);
+    this->Slow.push_back(this->start("slow"));
+    this->runUntil([&] { return this->Upstream.requests().size() > Received; });
+    ASSERT_EQ(this->openHere(), 2U);
+  }
+  EXPECT_EQ(this->Port.peakConnections(), 2U);
+  // Not bounded here: the upstream's threads learn of a close a moment late and
+  // may meanwhile have accepted the connection that takes its place.
+  RecordProperty("peak_at_upstream",
+                 static_cast<int>(this->Upstream.peakOpen()));
+}
+
+} // namespace acaciacross::traffic
--- a/Source/UnitTests/Traffic/RawUpstream.cpp
+++ b/Source/UnitTests/Traffic/RawUpstream.cpp
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <utility>
 
@@ -65,10 +66,15 @@
 
 std::size_t RawUpstream::closedByPeer() const { return this->Closed; }
 
+std::size_t RawUpstream::open() const { return this->Open; }
+
+std::size_t RawUpstream::peakOpen() const { return this->Peak; }
+
 void RawUpstream::accept() {
   pollfd Watched[2] = {{this->Listener, POLLIN, 0}, {this->Stop[0], POLLIN, 0}};
   while (::poll(Watched, 2, -1) > 0 && Watched[1].revents == 0) {
     const int Connection = ::accept(this->Listener, nullptr, nullptr);
+    this->Peak = std::max<std::size_t>(this->Peak, ++this->Open);
     this->Connections.emplace_back(
         [this, Connection] { this->serve(Connection); });
   }
@@ -99,6 +105,7 @@
     ::send(Connection, Text.data(), Text.size(), MSG_NOSIGNAL);
     Request.clear();
   }
+  --this->Open;
   ::close(Connection);
 }
 
--- a/Source/UnitTests/Traffic/RawUpstream.h
+++ b/Source/UnitTests/Traffic/RawUpstream.h
@@ -28,6 +28,10 @@
   /// Connections that the other side closed.
   std::size_t closedByPeer() const;
 
+  /// Connections that are open now, and the most that were open together.
+  std::size_t open() const;
+  std::size_t peakOpen() const;
+
 private:
   void accept();
   void serve(int Connection);
@@ -38,6 +42,8 @@
   mutable std::mutex Mutex;
   std::vector<std::string> Received;
   std::atomic<std::size_t> Closed{0};
+  std::atomic<std::size_t> Open{0};
+  std::atomic<std::size_t> Peak{0};
   std::vector<std::jthread> Connections;
   std::jthread Acceptor;
 };
