Control: drop upstream evidence from before a pause

Cause: after a pause of the process, fleet evidence was dropped, but failures of attempts that the pause cut short still counted against searchers, and ejections decided by them went on.

Change: ControlState::endPause drops both. UpstreamTracker forgets the results and pages from before the end of the pause, ends ejections, and passes over later reports of attempts that began before it. Signs of a drain stay, because a leaving upstream must get no new work.

--- a/Source/Control/ControlState.cpp
+++ b/Source/Control/ControlState.cpp
@@ -133,6 +133,12 @@
   this->takeUpstreamChanges();
 }
 
+void ControlState::endPause() {
+  this->setPeers({});
+  this->Upstreams.discardEvidence(this->Time.monotonicNow());
+  this->takeUpstreamChanges();
+}
+
 void ControlState::applyVmList(std::vector<VmListEntry> Entries) {
   std::map<common::SearcherIndex, bool> Listed;
   for (const VmListEntry &Entry : Entries) {
--- a/Source/Control/ControlState.h
+++ b/Source/Control/ControlState.h
@@ -64,6 +64,9 @@
                  const upstreams::LoadPage &Page);
   /// Pages that were polled where the searcher no longer is are passed over.
   void applyPages(const std::vector<upstreams::PolledPage> &Batch);
+  /// Drops all evidence, of peers and of upstreams, from before the end of a
+  /// pause of this VM, which is now.
+  void endPause();
   void applyVmList(std::vector<VmListEntry> Entries);
   /// Entry VMs and upstreams of the last list; empty before the first one.
   const std::vector<VmListEntry> &vmList() const;
--- a/Source/Peering/FleetMember.cpp
+++ b/Source/Peering/FleetMember.cpp
@@ -70,7 +70,7 @@
   const common::MonotonicTime Now = this->Time.monotonicNow();
   this->Fleet.discardEvidence(Now);
   this->Reads.discardAnswers(Now);
-  this->State.setPeers({});
+  this->State.endPause();
   const std::string Milliseconds = std::to_string(Length.count());
   this->State.note("clock", this->State.settings().Vm.Value,
                    "paused for " + Milliseconds + " ms");
--- a/Source/UnitTests/Upstreams/UpstreamTrackerTest.cpp
+++ b/Source/UnitTests/Upstreams/UpstreamTrackerTest.cpp
@@ -238,6 +238,25 @@
 }
 
 // Health pages of the platform may mislead in both directions.
+// Attempts that a pause of this VM cut short would eject healthy searchers.
+TEST_F(UpstreamTrackerTest, PauseEndsEjectionsAndDropsEarlierEvidence) {
+  this->attempts(0, AttemptStatus::Lost, 5);
+  this->attempts(3, AttemptStatus::Lost, 4);
+  ASSERT_EQ(this->countEjected(), 1U);
+  this->advance(700ms);
+  this->Tracker.discardEvidence(this->now());
+  EXPECT_EQ(this->countEjected(), 0U);
+  EXPECT_EQ(this->Tracker.takeChangedServices().size(), 1U);
+  // Elapsed reaches back into the pause.
+  this->attempts(3, AttemptStatus::Lost, 10);
+  EXPECT_EQ(this->countEjected(), 0U);
+  this->attempts(6, AttemptStatus::Answered, 1, true);
+  EXPECT_TRUE(this->isLeaving(6));
+  this->advance(10ms);
+  this->attempts(3, AttemptStatus::Lost, 5);
+  EXPECT_EQ(this->countEjected(), 1U);
+}
+
 TEST_F(UpstreamTrackerTest, AttemptsOutrankLyingHealthPage) {
   for (int Round = 0; Round < 12; ++Round) {
     this->attempts(0, AttemptStatus::Answered);
--- a/Source/Upstreams/Ejector.cpp
+++ b/Source/Upstreams/Ejector.cpp
@@ -43,6 +43,12 @@
     this->restore(State, "ejection over", Now);
 }
 
+void Ejector::lift(SearcherState &State, const std::string &Cause,
+                   common::MonotonicTime Now) {
+  if (State.EjectedAt)
+    this->restore(State, Cause, Now);
+}
+
 void Ejector::enforceBound(const ReplicaGroup &Group,
                            common::MonotonicTime Now) {
   const std::size_t Most = this->Policy->maxEjected(Group.size());
--- a/Source/Upstreams/Ejector.h
+++ b/Source/Upstreams/Ejector.h
@@ -24,6 +24,10 @@
   /// Ends the ejection when its time is over.
   void expire(SearcherState &State, common::MonotonicTime Now);
 
+  /// Ends the ejection at once, if there is one.
+  void lift(SearcherState &State, const std::string &Cause,
+            common::MonotonicTime Now);
+
   /// Ends ejections until the group has no more than the policy allows; needed
   /// when groups change.
   void enforceBound(const ReplicaGroup &Group, common::MonotonicTime Now);
--- a/Source/Upstreams/UpstreamTracker.cpp
+++ b/Source/Upstreams/UpstreamTracker.cpp
@@ -87,6 +87,11 @@
     if (State == nullptr)
       continue;
     const common::MonotonicTime At = std::min(Evidence.At, Now);
+    if (this->isFromBeforePause(Evidence)) {
+      if (Evidence.Draining)
+        this->markLeaving(*State, DrainSource::Reply, At - Evidence.Elapsed);
+      continue;
+    }
     State->Statistics.add(Evidence.Status, At);
     if (Evidence.Status == query::AttemptStatus::NotSent)
       this->Drains.noteGone(Evidence.Searcher);
@@ -182,6 +187,30 @@
     this->markLeaving(*State, DrainSource::Peer, Now - Age);
 }
 
+// An attempt that was under way in the pause ended late or not at all because
+// of this VM, not of the searcher.
+bool UpstreamTracker::isFromBeforePause(
+    const UpstreamEvidence &Evidence) const {
+  return this->PauseEndedAt &&
+         Evidence.At - Evidence.Elapsed < *this->PauseEndedAt;
+}
+
+void UpstreamTracker::discardEvidence(common::MonotonicTime PauseEnd) {
+  this->PauseEndedAt = PauseEnd;
+  for (auto &[Searcher, State] : this->States) {
+    if (State.EjectedAt)
+      this->Changes.markChanged(State.Service);
+    this->Ejections.lift(State, "this VM was paused", PauseEnd);
+    State.Statistics = FailureStatistics();
+    State.LastCleanReplyAt.reset();
+    // Whether it was cold is kept, so that a cold start is noticed.
+    State.Health.Status = HealthStatus::InService;
+    State.Load.Queued = 0;
+    this->Timed.insert(Searcher);
+    this->refreshShare(State, PauseEnd);
+  }
+}
+
 void UpstreamTracker::tick(common::MonotonicTime Now) {
   for (const common::SearcherIndex Searcher : this->Drains.expire(Now))
     if (SearcherState *State = this->find(Searcher))
--- a/Source/Upstreams/UpstreamTracker.h
+++ b/Source/Upstreams/UpstreamTracker.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <vector>
@@ -46,6 +47,10 @@
   void applyNotice(common::SearcherIndex Searcher,
                    std::chrono::milliseconds Age, common::MonotonicTime Now);
 
+  /// Drops what attempts and pages showed before the end of a pause of this VM,
+  /// and ends the ejections decided by it. Signs of a drain stay.
+  void discardEvidence(common::MonotonicTime PauseEnd);
+
   /// Ends ejections and drains, and raises shares.
   void tick(common::MonotonicTime Now);
 
@@ -65,6 +70,8 @@
 private:
   SearcherState *find(common::SearcherIndex Searcher);
   const SearcherState *find(common::SearcherIndex Searcher) const;
+  /// Whether the attempt ran before the end of a pause of this VM.
+  bool isFromBeforePause(const UpstreamEvidence &Evidence) const;
   void markLeaving(SearcherState &State, DrainSource Source,
                    common::MonotonicTime SignAt);
   void returnToService(SearcherState &State, const std::string &Cause,
@@ -77,6 +84,7 @@
   SearcherStates States;
   UpstreamChanges Changes;
   Ejector Ejections;
+  std::optional<common::MonotonicTime> PauseEndedAt;
   std::set<common::ServiceName> KnownServices;
   /// Searchers whose state changes with time alone.
   std::set<common::SearcherIndex> Timed;
