Common: Install the library as the CMake package acaciacross

Cause: the decision modules could only be used inside this source tree. Ruled out: a shared library, whose interface would have to be kept stable.

--- a/cmake/Module.cmake
+++ b/cmake/Module.cmake
@@ -6,7 +6,10 @@
   set(Target acaciacross${Name})
   if(Sources)
     add_library(${Target} STATIC ${Sources})
-    target_include_directories(${Target} PUBLIC ${PROJECT_SOURCE_DIR}/Source)
+    target_include_directories(
+      ${Target} PUBLIC $<BUILD_INTERFACE:${PROJECT_SOURCE_DIR}/Source>)
+    # Also for programs outside this build that link the installed library.
+    target_compile_features(${Target} PUBLIC cxx_std_20)
     target_link_libraries(${Target} PUBLIC ${ARGN})
   else()
     add_library(${Target} INTERFACE)
--- /dev/null
+++ b/cmake/acaciacrossConfig.cmake
@@ -0,0 +1,7 @@
+include(CMakeFindDependencyMacro)
+find_dependency(Threads)
+find_dependency(glog)
+find_dependency(tomlplusplus)
+find_dependency(PkgConfig)
+pkg_check_modules(XXH REQUIRED IMPORTED_TARGET libxxhash)
+include(${CMAKE_CURRENT_LIST_DIR}/acaciacrossTargets.cmake)
