Benchmarks: Measure slopes for the capacity arithmetic

Cause: docs/CAPACITY.md needs costs per unit at today's and the two-year size. Change: acaciacross-capacity runs 64 cases with fixed seeds and counts: memory per searcher, peer and audit entry, replica choices, whole queries, attempts over HTTP on loopback, parsing, applying and publishing of documents, probe rounds, datagrams, evidence, the VM list, and the size of a change. Tools/capacity runs each case twice, alone for memory and time and under callgrind for instructions, and writes a table and build/capacity.json. Attempts over HTTP have threads of the stand-in in the same process; their instructions are not counted, and the processor time of the thread is given instead.

--- /dev/null
+++ b/Source/Benchmarks/Capacity/ControlTickCase.cpp
@@ -0,0 +1,38 @@
+#include "Benchmarks/Capacity/ControlTickCase.h"
+
+#include "Benchmarks/Capacity/SampleFleet.h"
+
+namespace acaciacross::benchmarks {
+
+namespace {
+
+constexpr std::uint64_t Ticks = 200;
+constexpr std::uint32_t PerService = 480;
+
+} // namespace
+
+ControlTickCase::ControlTickCase(std::uint32_t Count) : Searchers(Count) {}
+
+std::string ControlTickCase::name() const {
+  return "control_tick." + std::to_string(this->Searchers);
+}
+
+std::string ControlTickCase::unit() const { return "tick"; }
+
+std::uint64_t ControlTickCase::operations() const { return Ticks; }
+
+void ControlTickCase::prepare() {
+  this->State = std::make_unique<control::ControlState>(SampleFleet::settings(),
+                                                        this->Clock);
+  for (const auto &Change : SampleFleet::documents(this->Searchers, PerService))
+    this->State->applyConfiguration(Change, "service");
+}
+
+void ControlTickCase::run() {
+  for (std::uint64_t I = 0; I < Ticks; ++I) {
+    this->Clock.advance(std::chrono::milliseconds(50));
+    this->State->tick();
+  }
+}
+
+} // namespace acaciacross::benchmarks
--- /dev/null
+++ b/Source/Benchmarks/Capacity/MeasuredRegion.h
@@ -0,0 +1,17 @@
+#ifndef ACACIACROSS_BENCHMARKS_CAPACITY_MEASUREDREGION_H
+#define ACACIACROSS_BENCHMARKS_CAPACITY_MEASUREDREGION_H
+
+#include "Benchmarks/Capacity/CapacityCase.h"
+
+namespace acaciacross::benchmarks {
+
+/// Runs the operations of a case. Callgrind started with --instr-atstart=no
+/// counts the instructions in here only.
+class MeasuredRegion {
+public:
+  static void run(CapacityCase &Case);
+};
+
+} // namespace acaciacross::benchmarks
+
+#endif
--- /dev/null
+++ b/Source/Benchmarks/Capacity/ProbeRoundCase.cpp
@@ -0,0 +1,59 @@
+#include "Benchmarks/Capacity/ProbeRoundCase.h"
+
+#include "Benchmarks/Capacity/SampleFleet.h"
+
+namespace acaciacross::benchmarks {
+
+namespace {
+
+constexpr std::uint64_t Seed = 20261204;
+constexpr std::uint64_t Rounds = 100;
+// The VM list is mentioned every 5 s.
+constexpr std::uint64_t RoundsPerMention = 25;
+
+} // namespace
+
+ProbeRoundCase::ProbeRoundCase(std::uint32_t Count)
+    : Peers(Count), Random(Seed), Fleet(SampleFleet::settings().Vm),
+      Hints(SampleFleet::settings().Peers),
+      Probes(this->Channel, this->Random) {}
+
+std::string ProbeRoundCase::name() const {
+  return "probe_round." + std::to_string(this->Peers);
+}
+
+std::string ProbeRoundCase::unit() const { return "round"; }
+
+std::uint64_t ProbeRoundCase::operations() const { return Rounds; }
+
+void ProbeRoundCase::prepare() {
+  for (std::uint32_t I = 0; I < this->Peers; ++I) {
+    const membership::MemberStatus Status = SampleFleet::member(I);
+    this->Statuses.emplace(Status.Callers, Status);
+    this->Fleet.applyAck(Status, Status.Callers, this->Clock.monotonicNow());
+  }
+}
+
+void ProbeRoundCase::run() {
+  for (std::uint64_t I = 0; I < Rounds; ++I) {
+    if (I % RoundsPerMention == 0)
+      for (const auto &[Peer, Status] : this->Statuses)
+        this->Hints.mention(Peer, this->Clock.monotonicNow());
+    this->runRound();
+  }
+}
+
+void ProbeRoundCase::runRound() {
+  const common::MonotonicTime Now = this->Clock.monotonicNow();
+  this->Hints.expire(Now);
+  this->Fleet.expire(Now);
+  this->Probes.tick(Now, this->Fleet, this->Hints, {});
+  this->Fleet.servingPeers(Now);
+  for (const auto &[To, Sequence] : this->Channel.takeSent()) {
+    if (const auto SentAt = this->Probes.matchAck(Sequence, To, Now))
+      this->Fleet.applyAck(this->Statuses.at(To), To, *SentAt);
+  }
+  this->Clock.advance(membership::ProbePeriod);
+}
+
+} // namespace acaciacross::benchmarks
--- /dev/null
+++ b/Source/Benchmarks/Capacity/PublishCase.cpp
@@ -0,0 +1,49 @@
+#include "Benchmarks/Capacity/PublishCase.h"
+
+#include "Benchmarks/Capacity/SampleFleet.h"
+
+namespace acaciacross::benchmarks {
+
+namespace {
+
+constexpr std::uint64_t Views = 100;
+
+} // namespace
+
+PublishCase::PublishCase(std::uint32_t SearcherCount,
+                         std::uint32_t SearchersPerService,
+                         std::uint32_t PeerCount)
+    : Searchers(SearcherCount), PerService(SearchersPerService),
+      Peers(PeerCount) {}
+
+std::string PublishCase::name() const {
+  return "publish." + std::to_string(this->Searchers) + "_by_" +
+         std::to_string(this->PerService) + "_peers_" +
+         std::to_string(this->Peers);
+}
+
+std::string PublishCase::unit() const { return "view"; }
+
+std::uint64_t PublishCase::operations() const { return Views; }
+
+void PublishCase::prepare() {
+  this->State = std::make_unique<control::ControlState>(SampleFleet::settings(),
+                                                        this->Clock);
+  for (const auto &Change :
+       SampleFleet::documents(this->Searchers, this->PerService))
+    this->State->applyConfiguration(Change, "service");
+  std::vector<routing::AddressCandidate> Serving;
+  for (std::uint32_t I = 0; I < this->Peers; ++I) {
+    const membership::MemberStatus Peer = SampleFleet::member(I);
+    Serving.push_back({Peer.Vm, Peer.Callers, Peer.FailureDomain,
+                       this->Clock.monotonicNow()});
+  }
+  this->State->setPeers(std::move(Serving));
+}
+
+void PublishCase::run() {
+  for (std::uint64_t I = 0; I < Views; ++I)
+    this->State->buildView();
+}
+
+} // namespace acaciacross::benchmarks
--- /dev/null
+++ b/Source/Benchmarks/Capacity/TransferCase.h
@@ -0,0 +1,43 @@
+#ifndef ACACIACROSS_BENCHMARKS_CAPACITY_TRANSFERCASE_H
+#define ACACIACROSS_BENCHMARKS_CAPACITY_TRANSFERCASE_H
+
+#include "Benchmarks/Capacity/CapacityCase.h"
+#include "Benchmarks/Capacity/SearchAnswerer.h"
+#include "Common/SystemClock.h"
+#include "StandIns/Http/HttpServer.h"
+#include "StandIns/Http/UnlimitedConnections.h"
+#include "Traffic/CurlAttemptPort.h"
+
+#include <memory>
+
+namespace acaciacross::benchmarks {
+
+/// Attempts over HTTP on loopback, to a stand-in that answers at once. Only the
+/// processor time is of use: other threads run in the same process.
+class TransferCase final : public CapacityCase {
+public:
+  explicit TransferCase(std::uint32_t Connections);
+  bool isAlone() const override;
+
+  std::string name() const override;
+  std::string unit() const override;
+  std::uint64_t operations() const override;
+  void prepare() override;
+  void run() override;
+
+private:
+  query::AttemptSpec makeSpec(std::uint64_t Number) const;
+  void runSome(std::uint64_t Count);
+
+  std::uint32_t Connections;
+  common::SystemClock Clock;
+  SearchAnswerer Answers;
+  standins::UnlimitedConnections Observer;
+  std::unique_ptr<standins::HttpServer> Server;
+  std::unique_ptr<traffic::CurlAttemptPort> Port;
+  std::uint64_t Started = 0;
+};
+
+} // namespace acaciacross::benchmarks
+
+#endif
