SystemTests: start real deployments, and kill searchers between queries

Unit tests cannot show that the daemon's threads, sockets and the reaction to a lost process work together. The fixture starts the platform's stand-in, one process per searcher and the entry VMs on free loopback ports below the range of outgoing connections, and ends them by their handles.

ReplicaLossTest compares every answer after a kill with the stand-ins' record.

--- /dev/null
+++ b/Source/SystemTests/Deployment.h
@@ -0,0 +1,62 @@
+#ifndef ACACIACROSS_SYSTEMTESTS_DEPLOYMENT_H
+#define ACACIACROSS_SYSTEMTESTS_DEPLOYMENT_H
+
+#include "SystemTests/DeploymentPlan.h"
+#include "SystemTests/EntryVm.h"
+#include "SystemTests/FreePorts.h"
+#include "SystemTests/RecordedExecution.h"
+#include "SystemTests/SearcherHandle.h"
+
+#include <string>
+#include <vector>
+
+namespace acaciacross::systemtests {
+
+/// A deployment of real processes on loopback ports of its own; everything is
+/// ended with it. Settings and logs lie in a folder of the build.
+class Deployment {
+public:
+  /// \throws std::runtime_error when it is not ready in time.
+  Deployment(const DeploymentPlan &Plan, const std::string &Name);
+
+  const DeploymentPlan &plan() const;
+  std::vector<EntryVm> &vms();
+  std::vector<SearcherHandle> &searchers();
+  std::vector<SearcherHandle *> replicas(const std::string &Service,
+                                         std::uint32_t Shard);
+
+  /// Adds an entry VM to the VM list and starts it, without waiting.
+  EntryVm &addVm();
+
+  /// True when each of the VMs of the list runs and names exactly these.
+  static bool knowEachOther(const std::vector<const EntryVm *> &Vms);
+
+  /// Executions of one request, or all, on the searchers that still run.
+  std::vector<RecordedExecution>
+  record(const std::string &RequestId = "") const;
+
+  /// \return the revision.
+  std::uint64_t publish(const std::string &Key, const std::string &Text) const;
+  /// Parameters of the platform's control call, such as "config=down".
+  void setPlatformMode(const std::string &Parameters) const;
+  void publishVmList() const;
+
+private:
+  void addSearchers(const std::string &Service, std::uint32_t Shards,
+                    std::uint32_t Replicas);
+  void startPlatform();
+  std::string write(const std::string &File, const std::string &Text) const;
+
+  DeploymentPlan Plan;
+  std::string Folder;
+  FreePorts Ports;
+  std::string PlatformAddress;
+  std::string DeadAddress;
+  std::unique_ptr<ProcessHandle> Platform;
+  std::vector<SearcherHandle> Searchers;
+  std::vector<EntryVm> Vms;
+};
+
+} // namespace acaciacross::systemtests
+
+#endif
--- /dev/null
+++ b/Source/SystemTests/EntryVm.h
@@ -0,0 +1,42 @@
+#ifndef ACACIACROSS_SYSTEMTESTS_ENTRYVM_H
+#define ACACIACROSS_SYSTEMTESTS_ENTRYVM_H
+
+#include "SystemTests/JsonNode.h"
+#include "SystemTests/ProcessHandle.h"
+#include "SystemTests/QueryAnswer.h"
+
+#include <chrono>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace acaciacross::systemtests {
+
+/// One entry VM, and the calls that callers and operators make to it.
+struct EntryVm {
+  std::string Id;
+  std::string Callers;
+  std::string Peers;
+  std::string SettingsFile;
+  std::string LogFile;
+  std::unique_ptr<ProcessHandle> Process;
+
+  void start();
+
+  /// The addresses of callers that it names; empty without a reply.
+  std::set<std::string> addresses() const;
+
+  /// "" when none was given.
+  std::string ticket(const std::string &Class) const;
+
+  QueryAnswer
+  query(const std::string &Id, const std::string &Class,
+        const std::string &Ticket = "",
+        std::chrono::milliseconds Deadline = std::chrono::seconds(2)) const;
+
+  JsonNode status() const;
+};
+
+} // namespace acaciacross::systemtests
+
+#endif
--- /dev/null
+++ b/Source/SystemTests/QueryAnswer.cpp
@@ -0,0 +1,33 @@
+#include "SystemTests/QueryAnswer.h"
+
+#include "SystemTests/JsonNode.h"
+
+namespace acaciacross::systemtests {
+
+namespace {
+
+std::set<std::uint32_t> shardsOf(const JsonNode &List) {
+  std::set<std::uint32_t> Shards;
+  for (std::size_t I = 0; I < List.size(); ++I)
+    Shards.insert(
+        static_cast<std::uint32_t>(List.element(I)["shard"].number()));
+  return Shards;
+}
+
+} // namespace
+
+QueryAnswer QueryAnswer::from(const HttpReply &Reply) {
+  const JsonNode Body = JsonNode::parse(Reply.Body);
+  QueryAnswer Answer;
+  Answer.Outcome = Reply.Status == 0 ? "" : Body["outcome"].string();
+  Answer.Result = Body["result"].string();
+  Answer.Run = Body["run"].string();
+  Answer.TicketOwner = Body["ticket_owner"].string();
+  Answer.Coverage = Body["coverage"].number();
+  Answer.Answered = shardsOf(Body["answers"]);
+  Answer.Missing = shardsOf(Body["missing"]);
+  Answer.Reply = Reply;
+  return Answer;
+}
+
+} // namespace acaciacross::systemtests
--- /dev/null
+++ b/Source/SystemTests/RecordReader.cpp
@@ -0,0 +1,36 @@
+#include "SystemTests/RecordReader.h"
+
+#include "SystemTests/HttpCaller.h"
+#include "SystemTests/JsonNode.h"
+
+#include <stdexcept>
+
+namespace acaciacross::systemtests {
+
+std::vector<RecordedExecution>
+RecordReader::read(const SearcherHandle &Searcher,
+                   const std::string &RequestId) {
+  const std::string Filter = RequestId.empty() ? "" : "?request=" + RequestId;
+  const HttpReply Reply =
+      HttpCaller::call("GET", Searcher.Control + "/record" + Filter);
+  if (Reply.Status != 200)
+    throw std::runtime_error("no record from " + Searcher.Id);
+  const JsonNode List = JsonNode::parse(Reply.Body)["executions"];
+  std::vector<RecordedExecution> Found;
+  for (std::size_t I = 0; I < List.size(); ++I) {
+    const JsonNode Each = List.element(I);
+    RecordedExecution Entry;
+    Entry.Searcher = Each["searcher"].string();
+    Entry.RequestId = Each["request_id"].string();
+    Entry.Shard = static_cast<std::uint32_t>(Each["shard"].number());
+    Entry.Started =
+        std::chrono::system_clock::time_point(std::chrono::microseconds(
+            static_cast<std::int64_t>(Each["started_unix_us"].number())));
+    Entry.Finished = Each["finished_unix_us"].number() > 0;
+    Entry.Cancelled = Each["cancelled"].boolean();
+    Found.push_back(Entry);
+  }
+  return Found;
+}
+
+} // namespace acaciacross::systemtests
--- /dev/null
+++ b/Source/SystemTests/SearcherHandle.h
@@ -0,0 +1,27 @@
+#ifndef ACACIACROSS_SYSTEMTESTS_SEARCHERHANDLE_H
+#define ACACIACROSS_SYSTEMTESTS_SEARCHERHANDLE_H
+
+#include "SystemTests/ProcessHandle.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace acaciacross::systemtests {
+
+/// One searcher's stand-in in a process of its own.
+struct SearcherHandle {
+  std::string Id;
+  std::string Service;
+  std::uint32_t Shard = 0;
+  std::string Address;
+  std::string Control;
+  std::unique_ptr<ProcessHandle> Process;
+
+  /// \throws std::runtime_error when the stand-in does not take it.
+  void setFault(const std::string &Name, const std::string &Value) const;
+};
+
+} // namespace acaciacross::systemtests
+
+#endif
