--- a/Source/Benchmarks/Capacity/ReplicaChoiceCase.cpp
+++ b/Source/Benchmarks/Capacity/ReplicaChoiceCase.cpp
@@ -36,7 +36,7 @@
     const common::SearcherIndex Chosen =
         this->View->Searchers[Position.value()].Index;
     this->Selector.onAttemptStarted(Chosen);
-    this->Selector.onAttemptEnded(Chosen);
+    this->Selector.onAttemptEnded(Chosen, query::AttemptStatus::Answered);
   }
 }
 
