Control: keep the control thread running after SIGSTOP and SIGCONT

FreezeTest found that an entry VM that was stopped and continued never names a peer again, takes no new configuration and is dropped from its peers' address answers for good, while its traffic threads go on with the last view. Its log ends with "work_pending_i: Interrupted system call".

Cause: epoll_wait returns EINTR when a process is continued, also without any signal handler. ACE_Dev_Poll_Reactor passes this on as an error unless its restart flag is set, run_reactor_event_loop returns, and the thread ends.

The flag is set. The unit test interrupts the thread by signals.

--- a/Source/Control/ControlLoop.cpp
+++ b/Source/Control/ControlLoop.cpp
@@ -32,6 +32,9 @@
 // several hundred connections of callers and upstreams.
 std::unique_ptr<ACE_Reactor> makeReactor(ACE_Timer_Queue &Timers) {
   auto *Implementation = new ACE_Dev_Poll_Reactor(nullptr, &Timers);
+  // epoll_wait also ends with EINTR when the process is stopped and continued,
+  // which without this would end the event loop, and with it the thread.
+  Implementation->restart(true);
   const bool OwnsImplementation = true;
   return std::make_unique<ACE_Reactor>(Implementation, OwnsImplementation);
 }
--- a/Source/SystemTests/Deployment.cpp
+++ b/Source/SystemTests/Deployment.cpp
@@ -92,12 +92,13 @@
   return Vm;
 }
 
+// An address answer names only a few VMs, so the status page is read.
 bool Deployment::knowEachOther(const std::vector<const EntryVm *> &Vms) {
   std::set<std::string> All;
   for (const EntryVm *Vm : Vms)
     All.insert(Vm->Callers);
   for (const EntryVm *Vm : Vms)
-    if (Vm->addresses() != All)
+    if (Vm->fleet() != All)
       return false;
   return true;
 }
--- a/Source/SystemTests/EntryVm.cpp
+++ b/Source/SystemTests/EntryVm.cpp
@@ -64,4 +64,14 @@
           .Body);
 }
 
+std::set<std::string> EntryVm::fleet() const {
+  const JsonNode Page = this->status();
+  std::set<std::string> Found;
+  if (Page["state"].string() != "serving")
+    return Found;
+  for (std::size_t I = 0; I < Page["fleet"].size(); ++I)
+    Found.insert(Page["fleet"].element(I)["address"].string());
+  return Found;
+}
+
 } // namespace acaciacross::systemtests
--- a/Source/SystemTests/EntryVm.h
+++ b/Source/SystemTests/EntryVm.h
@@ -35,6 +35,9 @@
         std::chrono::milliseconds Deadline = std::chrono::seconds(2)) const;
 
   JsonNode status() const;
+
+  /// Callers' addresses of the serving VMs that its status page shows.
+  std::set<std::string> fleet() const;
 };
 
 } // namespace acaciacross::systemtests
--- a/Source/UnitTests/Control/ControlThreadTest.cpp
+++ b/Source/UnitTests/Control/ControlThreadTest.cpp
@@ -5,8 +5,10 @@
 #include "UnitTests/Configuration/SampleDocuments.h"
 
 #include <condition_variable>
+#include <csignal>
 #include <future>
 #include <mutex>
+#include <thread>
 
 #include <gtest/gtest.h>
 
@@ -61,6 +63,30 @@
       [First](const ControlView &View) { return View.PublishedAt > First; }));
 }
 
+// A signal interrupts the wait for events, as SIGCONT does after a pause. The
+// thread must not end with it: the VM would go on with its last view for ever.
+TEST_F(ControlThreadTest, WaitInterruptedByASignalGoesOn) {
+  struct sigaction Ignoring {};
+  struct sigaction Before {};
+  Ignoring.sa_handler = [](int) {};
+  ASSERT_EQ(::sigaction(SIGUSR1, &Ignoring, &Before), 0);
+  this->Control.start();
+  std::promise<pthread_t> Known;
+  this->Control.post(
+      [&](ControlState &) { Known.set_value(::pthread_self()); });
+  const pthread_t Thread = Known.get_future().get();
+  // The thread sleeps for most of the time, so that some of these meet a wait.
+  constexpr int Signals = 20;
+  for (int I = 0; I < Signals; ++I) {
+    ASSERT_EQ(::pthread_kill(Thread, SIGUSR1), 0);
+    std::this_thread::sleep_for(5ms);
+  }
+  const auto Done = std::make_shared<std::promise<void>>();
+  this->Control.post([Done](ControlState &) { Done->set_value(); });
+  EXPECT_EQ(Done->get_future().wait_for(10s), std::future_status::ready);
+  ::sigaction(SIGUSR1, &Before, nullptr);
+}
+
 // The notification pipe holds a few thousand entries; a task that posts more
 // must not wait for its own thread.
 TEST_F(ControlThreadTest, TaskThatPostsManyTasksDoesNotBlock) {
