SystemTests: planned stop under load

12 callers that follow address answers go on while one of three VMs gets SIGTERM; every query is complete, no call is cut, and the exit status is 0.

--- /dev/null
+++ b/Source/SystemTests/PlannedStopTest.cpp
@@ -0,0 +1,35 @@
+#include "SystemTests/CallerPool.h"
+#include "SystemTests/SystemTest.h"
+#include "SystemTests/Waiting.h"
+
+#include <csignal>
+#include <thread>
+
+namespace acaciacross::systemtests {
+
+class PlannedStopTest : public SystemTest {};
+
+// Guards against a stop that cuts running requests, or that closes the port
+// while callers may still use the address.
+TEST_F(PlannedStopTest, SigtermUnderLoadCutsNoRequestAndExitsWithZero) {
+  DeploymentPlan Plan;
+  Plan.ServiceTime = std::chrono::milliseconds(20);
+  this->deploy(Plan);
+  const std::string Stopped = this->vm(1).Callers;
+  CallerPool Pool(12, std::chrono::milliseconds(10), this->vm(0).addresses());
+  ASSERT_TRUE(waitUntil(std::chrono::seconds(10),
+                        [&] { return Pool.tally().Sent[Stopped] >= 50; }));
+  const std::uint64_t Before = Pool.tally().Sent[Stopped];
+  this->vm(1).Process->signal(SIGTERM);
+  EXPECT_EQ(this->vm(1).Process->waitForExit(std::chrono::seconds(15)), 0);
+  // Callers go on past the validity of any address answer that names it.
+  std::this_thread::sleep_for(std::chrono::seconds(4));
+  const CallerTally Tally = Pool.stop();
+  EXPECT_TRUE(Tally.Problems.empty()) << Tally.text();
+  EXPECT_EQ(Tally.Outcomes.at("complete"), Tally.queries()) << Tally.text();
+  // Without requests to the leaving VM the stop would show nothing.
+  EXPECT_GT(Tally.Sent.at(Stopped), Before);
+  EXPECT_FALSE(this->vm(0).addresses().contains(Stopped));
+}
+
+} // namespace acaciacross::systemtests
