Frontend: Refuse slow and endless requests with their code, close idle connections safely

A request whose headers or body came too slowly, or whose body went on far beyond the limit, lost its connection without an answer, so that its caller could not know that it had not run. libmicrohttpd takes no response while it reads a body; ConnectionGuard therefore sends the refusal (112 with 408, 101 with 413) itself, and a request that was refused this way is never run.

At the end of a planned stop, idle connections are now shut down for reading only: what has arrived on them is still served, and the process waits until all connections are closed.

MHD_quiesce_daemon of libmicrohttpd 0.9.75 ended the process in the test that closes the port while a request arrives ("Failed to remove listen FD from epoll set"). The listening socket is now our own, on a thread that sleeps in poll, and hands connections to one daemon per thread, since libmicrohttpd has no thread pool without a listening socket. Each daemon gets its part of the connection limits. poll instead of epoll was ruled out for its cost at 4,096 connections.

--- a/Source/Frontend/CallerServer.cpp
+++ b/Source/Frontend/CallerServer.cpp
@@ -1,14 +1,13 @@
 #include "Frontend/CallerServer.h"
 
 #include "Common/Error.h"
+#include "Frontend/JsonCodec.h"
+#include "Frontend/RawResponse.h"
 
 #include <microhttpd.h>
 
-#include <arpa/inet.h>
 #include <netinet/in.h>
-#include <unistd.h>
 
-#include <cstring>
 #include <string>
 #include <utility>
 
@@ -16,13 +15,17 @@
 
 namespace {
 
-// A body somewhat above the limit is read to its end, so that its sender gets
-// the refusal with its id; beyond this the connection is closed.
+// A body somewhat above the limit is read to its end, since most callers read
+// the response only then; beyond this the refusal is sent at once.
 constexpr std::size_t DiscardFactor = 8;
 
 // Request line and headers must fit into this.
 constexpr std::size_t MemoryPerConnection = std::size_t{32} << 10;
 
+std::string makeRefusal(const common::RequestId &Id, common::ResultCode Code) {
+  return encodeRawResponse(JsonCodec::encodeRefusal(Id, Code));
+}
+
 int socketOf(MHD_Connection *Connection) {
   return ::MHD_get_connection_info(Connection,
                                    MHD_CONNECTION_INFO_CONNECTION_FD)
@@ -61,42 +64,60 @@
 
 CallerServer::CallerServer(CallerServerSettings Chosen, CallDispatcher &Calls,
                            const common::Clock &Time)
-    : Settings(std::move(Chosen)), Dispatcher(Calls), Ticker(Time) {
-  sockaddr_in Local{};
-  Local.sin_family = AF_INET;
-  Local.sin_port = htons(this->Settings.Listen.Port);
-  ::inet_pton(AF_INET, this->Settings.Listen.Host.c_str(), &Local.sin_addr);
-  this->Daemon = ::MHD_start_daemon(
-      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME,
-      this->Settings.Listen.Port, nullptr, nullptr,
-      &CallerServerCallbacks::request, this, MHD_OPTION_SOCK_ADDR, &Local,
-      MHD_OPTION_THREAD_POOL_SIZE, this->Settings.Threads,
-      MHD_OPTION_CONNECTION_LIMIT, this->Settings.MaxConnections,
+    : Settings(std::move(Chosen)), Dispatcher(Calls), Ticker(Time),
+      Guard(makeRefusal({}, common::ResultCode::RequestTooSlow)) {
+  for (unsigned I = 0; I < this->Settings.Threads; ++I)
+    this->startDaemon();
+  this->Acceptor.emplace(
+      this->Settings.Listen, [this](int Socket, const sockaddr_in &Caller) {
+        MHD_Daemon *Next =
+            this->Daemons[this->Accepted++ % this->Daemons.size()];
+        // Closes the socket when it refuses the connection.
+        ::MHD_add_connection(Next, Socket,
+                             reinterpret_cast<const sockaddr *>(&Caller),
+                             sizeof(Caller));
+      });
+}
+
+// Each daemon has one thread and no listening socket. With a socket of its own,
+// libmicrohttpd 0.9.75 can end the process in MHD_quiesce_daemon ("Failed to
+// remove listen FD from epoll set"), when an event comes at the same time.
+void CallerServer::startDaemon() {
+  const unsigned Share = this->Settings.Threads;
+  MHD_Daemon *Daemon = ::MHD_start_daemon(
+      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME |
+          MHD_USE_NO_LISTEN_SOCKET,
+      0, nullptr, nullptr, &CallerServerCallbacks::request, this,
+      MHD_OPTION_CONNECTION_LIMIT, this->Settings.MaxConnections / Share,
       MHD_OPTION_PER_IP_CONNECTION_LIMIT,
-      this->Settings.MaxConnectionsPerCaller,
+      this->Settings.MaxConnectionsPerCaller / Share,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, MemoryPerConnection,
       MHD_OPTION_NOTIFY_COMPLETED, &CallerServerCallbacks::completed, this,
       MHD_OPTION_NOTIFY_CONNECTION, &CallerServerCallbacks::connection, this,
       MHD_OPTION_END);
-  if (!this->Daemon)
+  if (!Daemon) {
+    this->stop();
     throw common::Error(common::ResultCode::SocketFailed,
-                        "cannot listen on " + this->Settings.Listen.toString());
+                        "cannot start the HTTP server for callers");
+  }
+  this->Daemons.push_back(Daemon);
 }
 
 CallerServer::~CallerServer() { this->stop(); }
 
 common::Address CallerServer::endpoint() const {
-  const auto *Info =
-      ::MHD_get_daemon_info(this->Daemon, MHD_DAEMON_INFO_BIND_PORT);
-  return {this->Settings.Listen.Host, Info->port};
+  return this->Acceptor->endpoint();
 }
 
 void CallerServer::beginLeaving() { this->IsLeaving = true; }
 
-void CallerServer::closePort() {
-  const MHD_socket Listener = ::MHD_quiesce_daemon(this->Daemon);
-  if (Listener != MHD_INVALID_SOCKET)
-    ::close(Listener);
+void CallerServer::closePort() { this->Acceptor->close(); }
+
+bool CallerServer::closeConnections(std::chrono::milliseconds Limit) {
+  this->Guard.closeIdle();
+  std::unique_lock Held(this->Mutex);
+  return this->Idle.wait_for(Held, Limit,
+                             [this] { return this->Connections == 0; });
 }
 
 bool CallerServer::waitUntilIdle(std::chrono::milliseconds Limit) {
@@ -105,8 +126,10 @@
 }
 
 void CallerServer::stop() {
-  if (this->Daemon)
-    ::MHD_stop_daemon(std::exchange(this->Daemon, nullptr));
+  if (this->Acceptor)
+    this->Acceptor->close();
+  for (MHD_Daemon *Daemon : std::exchange(this->Daemons, {}))
+    ::MHD_stop_daemon(Daemon);
 }
 
 int CallerServer::onRequest(MHD_Connection *Connection, const char *Url,
@@ -118,7 +141,7 @@
   }
   auto &Each = *static_cast<CallerConnection *>(State);
   if (Length > 0)
-    return this->addToBody(Each, Body, std::exchange(Length, 0));
+    return this->addToBody(Connection, Each, Body, std::exchange(Length, 0));
   if (!Each.Call)
     return this->dispatch(Connection, Each);
   const auto Response = Each.Call->take();
@@ -134,21 +157,26 @@
   if (const char *After = ::MHD_lookup_connection_value(
           Connection, MHD_GET_ARGUMENT_KIND, "after"))
     Each->Request.After = After;
-  this->Guard.limit(socketOf(Connection),
-                    Each->Request.ReceivedAt + this->Settings.ReadTime);
+  this->limit(Connection, this->Settings.ReadTime, ConnectionPhase::Reading);
   const std::lock_guard Held(this->Mutex);
   ++this->Open;
   return Each;
 }
 
-int CallerServer::addToBody(CallerConnection &Each, const char *Body,
-                            std::size_t Length) {
-  CallerRequest &Request = Each.Request;
+int CallerServer::addToBody(MHD_Connection *Connection, CallerConnection &Each,
+                            const char *Body, std::size_t Length) {
   Each.BodyBytes += Length;
+  this->keepBody(Each, Body, Length);
   if (Each.BodyBytes > this->Settings.MaxBodyBytes * DiscardFactor)
-    return MHD_NO;
+    this->refuseTooLarge(Connection, Each.Request);
+  return MHD_YES;
+}
+
+void CallerServer::keepBody(CallerConnection &Each, const char *Body,
+                            std::size_t Length) {
+  CallerRequest &Request = Each.Request;
   if (Request.IsTooLarge || Request.IsOverloaded)
-    return MHD_YES;
+    return;
   if (Each.BodyBytes > this->Settings.MaxBodyBytes) {
     // The id is looked for in what is kept.
     Request.IsTooLarge = true;
@@ -158,14 +186,23 @@
   if (Together > this->Settings.MaxBufferedBytes) {
     this->BufferedBytes -= Length;
     Request.IsOverloaded = true;
-    return MHD_YES;
+    return;
   }
   Request.Body.append(Body, Length);
-  return MHD_YES;
+}
+
+void CallerServer::refuseTooLarge(MHD_Connection *Connection,
+                                  const CallerRequest &Request) {
+  const auto Decoded = JsonCodec::decodeQuery(Request);
+  const auto *Error = std::get_if<DecodeError>(&Decoded);
+  const auto Id = Error ? Error->Id : common::RequestId();
+  this->Guard.refuse(socketOf(Connection),
+                     makeRefusal(Id, common::ResultCode::RequestTooLarge));
 }
 
 int CallerServer::dispatch(MHD_Connection *Connection, CallerConnection &Each) {
-  this->Guard.release(socketOf(Connection));
+  if (!this->Guard.release(socketOf(Connection)))
+    return MHD_NO;
   Each.Call = std::make_shared<PendingCall>(Connection);
   this->Dispatcher.dispatch(Each.Request, Each.Call);
   if (Each.Call->suspendUnlessReady())
@@ -175,8 +212,7 @@
 
 int CallerServer::send(MHD_Connection *Connection,
                        const HttpResponse &Response) {
-  this->Guard.limit(socketOf(Connection),
-                    this->Ticker.monotonicNow() + this->Settings.WriteTime);
+  this->limit(Connection, this->Settings.WriteTime, ConnectionPhase::Writing);
   MHD_Response *Message = ::MHD_create_response_from_buffer(
       Response.Body.size(), const_cast<char *>(Response.Body.data()),
       MHD_RESPMEM_MUST_COPY);
@@ -196,8 +232,7 @@
   // Also called for requests that were malformed before they began.
   if (!Each)
     return;
-  this->Guard.limit(socketOf(Connection),
-                    this->Ticker.monotonicNow() + this->Settings.IdleTime);
+  this->limit(Connection, this->Settings.IdleTime, ConnectionPhase::Idle);
   this->releaseBody(*Each);
   delete Each;
   const std::lock_guard Held(this->Mutex);
@@ -211,12 +246,23 @@
 }
 
 void CallerServer::onOpened(MHD_Connection *Connection) {
-  this->Guard.limit(socketOf(Connection),
-                    this->Ticker.monotonicNow() + this->Settings.ReadTime);
+  this->limit(Connection, this->Settings.ReadTime, ConnectionPhase::Opened);
+  const std::lock_guard Held(this->Mutex);
+  ++this->Connections;
 }
 
 void CallerServer::onClosed(MHD_Connection *Connection) {
-  this->Guard.release(socketOf(Connection));
+  this->Guard.forget(socketOf(Connection));
+  const std::lock_guard Held(this->Mutex);
+  --this->Connections;
+  this->Idle.notify_all();
+}
+
+void CallerServer::limit(MHD_Connection *Connection,
+                         std::chrono::milliseconds Time,
+                         ConnectionPhase Phase) {
+  this->Guard.limit(socketOf(Connection),
+                    {this->Ticker.monotonicNow() + Time, Phase});
 }
 
 } // namespace acaciacross::frontend
--- a/Source/Frontend/JsonCodec.cpp
+++ b/Source/Frontend/JsonCodec.cpp
@@ -43,6 +43,8 @@
   case common::ResultCode::UnknownClass:
   case common::ResultCode::NotFound:
     return 404;
+  case common::ResultCode::RequestTooSlow:
+    return 408;
   case common::ResultCode::RequestTooLarge:
     return 413;
   default:
--- a/Source/Programs/EntryNode/EntryNode.cpp
+++ b/Source/Programs/EntryNode/EntryNode.cpp
@@ -75,7 +75,7 @@
   this->Server.beginLeaving();
   this->linger();
   this->Server.closePort();
-  this->Server.waitUntilIdle(LongestRequest);
+  this->Server.closeConnections(LongestRequest);
   this->shutDown();
 }
 
--- a/Source/UnitTests/Frontend/CallerServerTest.cpp
+++ b/Source/UnitTests/Frontend/CallerServerTest.cpp
@@ -147,6 +147,76 @@
   EXPECT_FALSE(IsBodyOpen);
 }
 
+// Without an answer the caller cannot know that its request did not run.
+TEST_F(CallerServerTest, BodyThatArrivesTooSlowlyIsRefusedAndNotRun) {
+  RawCaller Caller(this->Server.endpoint());
+  const std::string Body = query("7", "held");
+  Caller.send("POST /v1/query HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+              std::to_string(Body.size()) + "\r\n\r\n" +
+              Body.substr(0, Body.size() - 1));
+  const std::string Response = Caller.receive();
+  EXPECT_EQ(bodyOf(Response).string("result"), "RequestTooSlow") << Response;
+  EXPECT_EQ(bodyOf(Response).unsignedInteger("result_code"), 112U);
+  EXPECT_EQ(bodyOf(Response).string("run"), "not_run");
+  // The rest comes after the refusal.
+  Caller.send("}");
+  EXPECT_EQ(Caller.receive(), "");
+  EXPECT_EQ(this->Gateway.countHeld(), 0U);
+}
+
+// Beyond the limit the server does not wait for the end of the body.
+TEST_F(CallerServerTest, EndlessBodyIsRefusedWithItsIdBeforeItsEnd) {
+  RawCaller Caller(this->Server.endpoint());
+  Caller.send("POST /v1/query HTTP/1.1\r\nHost: x\r\n"
+              "Content-Length: 100000000\r\n\r\n"
+              R"({"id":"7","class":"c","deadline_ms":9,"body":")" +
+              std::string(20'000, 'x'));
+  const auto Object = bodyOf(Caller.receive());
+  EXPECT_EQ(Object.string("result"), "RequestTooLarge");
+  EXPECT_EQ(Object.unsignedInteger("result_code"), 101U);
+  EXPECT_EQ(Object.string("id"), "7");
+}
+
+// A planned stop must cut no request, also not on a connection that was idle
+// when the stop began.
+TEST_F(CallerServerTest, IdleConnectionsAreServedUntilTheyAreClosed) {
+  RawCaller First(this->Server.endpoint());
+  RawCaller Second(this->Server.endpoint());
+  RawCaller Third(this->Server.endpoint());
+  for (RawCaller *Each : {&First, &Second, &Third}) {
+    Each->sendRequest("POST /v1/query", query("1", "c"));
+    EXPECT_EQ(Each->receive().find("Connection: close"), std::string::npos);
+  }
+  this->Server.beginLeaving();
+  First.sendRequest("POST /v1/query", query("2", "c"));
+  EXPECT_NE(First.receive().find("Connection: close"), std::string::npos);
+  this->Server.closePort();
+  Second.sendRequest("POST /v1/query", query("3", "held"));
+  this->Gateway.waitUntilHeld(1);
+  EXPECT_FALSE(this->Server.closeConnections(milliseconds(200)));
+  EXPECT_EQ(Third.receive(), "");
+  this->Gateway.answerHeld();
+  EXPECT_NE(Second.receive().find(R"("body":"of 3")"), std::string::npos);
+  EXPECT_TRUE(this->Server.closeConnections(milliseconds(10'000)));
+}
+
+// Whether the server reads a request before or after it starts to close, the
+// caller that has sent it gets its response.
+TEST_F(CallerServerTest, RequestSentJustBeforeTheCloseIsServed) {
+  for (int Round = 0; Round < 50; ++Round) {
+    CallerServer Leaving(makeSettings(), this->Calls, this->Time);
+    RawCaller Caller(Leaving.endpoint());
+    Caller.sendRequest("POST /v1/query", query("1", "c"));
+    Caller.receive();
+    Leaving.beginLeaving();
+    Leaving.closePort();
+    Caller.sendRequest("POST /v1/query", query("2", "c"));
+    EXPECT_TRUE(Leaving.closeConnections(milliseconds(10'000)));
+    ASSERT_NE(Caller.receive().find(R"("body":"of 2")"), std::string::npos)
+        << Round;
+  }
+}
+
 // The response is late, not the caller.
 TEST_F(CallerServerTest, CallerWaitingLongerThanTheReadTimeIsAnswered) {
   RawCaller Caller(this->Server.endpoint());
--- a/Source/UnitTests/Frontend/FakeGateway.h
+++ b/Source/UnitTests/Frontend/FakeGateway.h
@@ -43,6 +43,11 @@
     this->Changed.wait(Guard, [&] { return this->Held.size() == Count; });
   }
 
+  std::size_t countHeld() {
+    const std::lock_guard Guard(this->Mutex);
+    return this->Held.size();
+  }
+
   void answerHeld() {
     const std::lock_guard Guard(this->Mutex);
     // The last first, to show that answers find their own connections.
