EntryNode: draw one incarnation per process

Cause: FleetMember drew its own incarnation and EntryNode another for tickets and attempts, so that a ticket or an attempt could not be matched with the run that peers had seen.

Change: EntryNode draws one and passes it to the router, the fleet member and the call dispatcher; the log (event 100) and the status page name it, the page as text because JSON readers round numbers above 2^53.

--- a/Source/Control/ControlState.cpp
+++ b/Source/Control/ControlState.cpp
@@ -166,7 +166,7 @@
   this->takeUpstreamChanges();
 }
 
-std::vector<upstreams::DrainNotice>
+std::vector<membership::DrainNotice>
 ControlState::drainNotices(std::size_t MaxCount) const {
   return this->Upstreams.notices(this->Time.monotonicNow(), MaxCount);
 }
--- a/Source/Control/ControlState.h
+++ b/Source/Control/ControlState.h
@@ -74,7 +74,7 @@
   void applyDrainNotice(const common::SearcherId &Searcher,
                         std::chrono::milliseconds Age);
   /// Notices for peers, newest first.
-  std::vector<upstreams::DrainNotice> drainNotices(std::size_t MaxCount) const;
+  std::vector<membership::DrainNotice> drainNotices(std::size_t MaxCount) const;
 
   /// Does what is due by now.
   void tick();
--- a/Source/Frontend/CallDispatcher.cpp
+++ b/Source/Frontend/CallDispatcher.cpp
@@ -6,6 +6,7 @@
 #include "Frontend/ReportResponder.h"
 #include "Frontend/StatusPage.h"
 #include "Frontend/TicketResponder.h"
+#include "Membership/FleetLimits.h"
 #include "Metrics/MetricsPage.h"
 
 #include <charconv>
@@ -16,9 +17,6 @@
 
 namespace {
 
-// How long callers keep an address answer.
-constexpr std::chrono::milliseconds AddressValidity{3000};
-
 // Enough to get past two lost VMs; more would only lengthen the answer.
 constexpr std::size_t MaxAddresses = 4;
 
@@ -38,12 +36,12 @@
 
 } // namespace
 
-CallDispatcher::CallDispatcher(common::VmId Self,
+CallDispatcher::CallDispatcher(common::VmId Self, common::Incarnation OwnRun,
                                traffic::TrafficGateway &Gateway,
                                AuditSource &Audit, const common::Clock &Time,
                                common::RandomSource &Random)
-    : Vm(std::move(Self)), Traffic(Gateway), Trail(Audit), Ticker(Time),
-      Advisor(Random) {}
+    : Vm(std::move(Self)), Run(OwnRun), Traffic(Gateway), Trail(Audit),
+      Ticker(Time), Advisor(Random) {}
 
 void CallDispatcher::dispatch(const CallerRequest &Request,
                               std::shared_ptr<ResponseSink> Sink) {
@@ -106,14 +104,14 @@
     return;
   }
   Sink.respond([Given = std::move(Advised)] {
-    return JsonCodec::encodeAddresses(Given, AddressValidity);
+    return JsonCodec::encodeAddresses(Given, membership::AddressValidity);
   });
 }
 
 void CallDispatcher::showStatus(std::shared_ptr<ResponseSink> Sink) {
   const auto Encode = [this](const std::vector<metrics::ClassReport> &Reports) {
-    return StatusPage::render(this->Vm, *this->Traffic.view(), Reports,
-                              this->Ticker.monotonicNow());
+    return StatusPage::render(this->Vm, this->Run, *this->Traffic.view(),
+                              Reports, this->Ticker.monotonicNow());
   };
   this->Traffic.requestReports(
       std::make_shared<ReportResponder>(Encode, std::move(Sink)));
--- a/Source/Frontend/CallDispatcher.h
+++ b/Source/Frontend/CallDispatcher.h
@@ -18,9 +18,9 @@
 class CallDispatcher {
 public:
   /// All references must outlive the dispatcher; Random is used by it only.
-  CallDispatcher(common::VmId Self, traffic::TrafficGateway &Gateway,
-                 AuditSource &Audit, const common::Clock &Time,
-                 common::RandomSource &Random);
+  CallDispatcher(common::VmId Self, common::Incarnation OwnRun,
+                 traffic::TrafficGateway &Gateway, AuditSource &Audit,
+                 const common::Clock &Time, common::RandomSource &Random);
 
   /// The sink is called once, possibly before this returns.
   void dispatch(const CallerRequest &Request,
@@ -38,6 +38,7 @@
                  std::shared_ptr<ResponseSink> Sink);
 
   common::VmId Vm;
+  common::Incarnation Run;
   traffic::TrafficGateway &Traffic;
   AuditSource &Trail;
   const common::Clock &Ticker;
--- a/Source/Frontend/StatusPage.cpp
+++ b/Source/Frontend/StatusPage.cpp
@@ -145,7 +145,7 @@
 
 } // namespace
 
-HttpResponse StatusPage::render(const common::VmId &Vm,
+HttpResponse StatusPage::render(const common::VmId &Vm, common::Incarnation Run,
                                 const control::ControlView &View,
                                 std::span<const metrics::ClassReport> Reports,
                                 common::MonotonicTime Now) {
@@ -153,6 +153,9 @@
   Json.beginObject()
       .key("vm")
       .string(Vm.Value)
+      // As text: JSON readers round numbers above 2^53.
+      .key("incarnation")
+      .string(std::to_string(Run.Value))
       .key("state")
       .string(nameOf(View.State))
       .key("revision")
--- a/Source/Frontend/StatusPage.h
+++ b/Source/Frontend/StatusPage.h
@@ -12,7 +12,7 @@
 /// The status of this VM for operators, as JSON.
 class StatusPage {
 public:
-  static HttpResponse render(const common::VmId &Vm,
+  static HttpResponse render(const common::VmId &Vm, common::Incarnation Run,
                              const control::ControlView &View,
                              std::span<const metrics::ClassReport> Reports,
                              common::MonotonicTime Now);
--- a/Source/Membership/FleetLimits.h
+++ b/Source/Membership/FleetLimits.h
@@ -7,6 +7,8 @@
 namespace acaciacross::membership {
 
 /// A peer is named in address answers while its evidence is at most this old.
+/// A VM that stops serves for this time, the validity of address answers and
+/// the margin after it has announced that it leaves.
 constexpr std::chrono::milliseconds EvidenceLimit{1000};
 
 /// Callers may use an address answer this long.
--- a/Source/Peering/FleetMember.cpp
+++ b/Source/Peering/FleetMember.cpp
@@ -18,12 +18,13 @@
 
 } // namespace
 
-FleetMember::FleetMember(control::ControlState &Target, ACE_Reactor &Events,
+FleetMember::FleetMember(control::ControlState &Target,
+                         common::Incarnation OwnRun, ACE_Reactor &Events,
                          const common::Clock &TimeSource,
                          common::RandomSource &RandomNumbers,
                          ReaderRole &Watcher)
     : ACE_Event_Handler(&Events), State(Target), Time(TimeSource),
-      Role(Watcher), Run(RandomNumbers.next()), Fleet(Target.settings().Vm),
+      Role(Watcher), Run(OwnRun), Fleet(Target.settings().Vm),
       Hints(Target.settings().Peers), Audit(Target), Reads(RandomNumbers),
       Sync(Target, Events, TimeSource),
       Socket(Target.settings().Peers, Events, *this, TimeSource),
@@ -103,11 +104,8 @@
 }
 
 void FleetMember::prepareRound() {
-  std::vector<membership::DrainNotice> Notices;
-  for (const upstreams::DrainNotice &Notice :
-       this->State.drainNotices(MaxSpreadNotices))
-    Notices.push_back({Notice.Searcher, Notice.Age});
-  this->Round.Drains = this->Drains.take(Notices);
+  this->Round.Drains =
+      this->Drains.take(this->State.drainNotices(MaxSpreadNotices));
   this->Round.Updates = this->Updates.take();
   this->Round.Sender = this->ownStatus();
 }
--- a/Source/Peering/FleetMember.h
+++ b/Source/Peering/FleetMember.h
@@ -25,9 +25,9 @@
 /// before it starts and destroyed after it has stopped.
 class FleetMember final : public ACE_Event_Handler, private DatagramListener {
 public:
-  /// Throws common::Error (SocketFailed). All arguments must outlive this.
-  FleetMember(control::ControlState &Target, ACE_Reactor &Events,
-              const common::Clock &TimeSource,
+  /// Throws common::Error (SocketFailed). All references must outlive this.
+  FleetMember(control::ControlState &Target, common::Incarnation OwnRun,
+              ACE_Reactor &Events, const common::Clock &TimeSource,
               common::RandomSource &RandomNumbers, ReaderRole &Watcher);
   ~FleetMember() override;
   FleetMember(const FleetMember &) = delete;
--- a/Source/Programs/EntryNode/EntryNode.cpp
+++ b/Source/Programs/EntryNode/EntryNode.cpp
@@ -21,11 +21,12 @@
 
 traffic::RouterSettings
 makeRouterSettings(const configuration::EntrySettings &Settings,
-                   const common::Clock &Time, common::RandomSource &Random) {
+                   common::Incarnation Run, const common::Clock &Time,
+                   common::RandomSource &Random) {
   traffic::RouterSettings Chosen;
   Chosen.Identity.Vm = Settings.Vm;
   Chosen.Identity.Callers = Settings.Callers;
-  Chosen.Identity.Issuer = common::Incarnation(Random.next());
+  Chosen.Identity.Issuer = Run;
   Chosen.Identity.StartedAt = Time.monotonicNow();
   Chosen.Identity.Secret = Random.next();
   Chosen.RandomSeed = Random.next();
@@ -42,18 +43,18 @@
 } // namespace
 
 EntryNode::EntryNode(const configuration::EntrySettings &Settings)
-    : Random(common::SeededRandom::fromSystem()),
+    : Random(common::SeededRandom::fromSystem()), Run(this->Random.next()),
       Control(std::make_unique<control::ControlState>(Settings, this->Time),
               this->Time),
-      Router(makeRouterSettings(Settings, this->Time, this->Random), this->Time,
-             this->Control),
-      Audit(this->Control),
-      Calls(Settings.Vm, this->Router, this->Audit, this->Time, this->Random),
+      Router(makeRouterSettings(Settings, this->Run, this->Time, this->Random),
+             this->Time, this->Control),
+      Audit(this->Control), Calls(Settings.Vm, this->Run, this->Router,
+                                  this->Audit, this->Time, this->Random),
       Watcher(Settings.ConfigurationService, this->Control,
               common::SeededRandom::fromSystem()),
       Role(this->Watcher), FleetRandom(common::SeededRandom::fromSystem()),
-      Fleet(this->Control.state(), this->Control.reactor(), this->Time,
-            this->FleetRandom, this->Role),
+      Fleet(this->Control.state(), this->Run, this->Control.reactor(),
+            this->Time, this->FleetRandom, this->Role),
       Poller(Settings.VmList, this->Control,
              common::SeededRandom::fromSystem()),
       Server(makeServerSettings(Settings), this->Calls, this->Time) {
@@ -63,6 +64,7 @@
   this->Poller.start();
   common::logEvent(common::LogEvent::ProcessStarted,
                    "vm=" + Settings.Vm.Value +
+                       " incarnation=" + std::to_string(this->Run.Value) +
                        " callers=" + Settings.Callers.toString());
 }
 
--- a/Source/Programs/EntryNode/EntryNode.h
+++ b/Source/Programs/EntryNode/EntryNode.h
@@ -37,6 +37,8 @@
 
   common::SystemClock Time;
   common::SeededRandom Random;
+  /// Of this process: in probes, tickets and attempts alike.
+  common::Incarnation Run;
   control::ControlThread Control;
   traffic::TrafficRouter Router;
   ControlAuditSource Audit;
--- a/Source/Routing/AddressAdvisor.cpp
+++ b/Source/Routing/AddressAdvisor.cpp
@@ -1,7 +1,8 @@
 #include "Routing/AddressAdvisor.h"
 
+#include "Membership/FleetLimits.h"
+
 #include <algorithm>
-#include <chrono>
 #include <map>
 #include <string>
 #include <utility>
@@ -10,10 +11,6 @@
 
 namespace {
 
-// Callers use an answer for 3 s, and a VM that stops keeps serving for this
-// limit plus 3.5 s after it has announced that it leaves.
-constexpr std::chrono::seconds EvidenceLimit{1};
-
 // Sorted by how many of the same failure domain come before each candidate, so
 // that any prefix spans as many domains as it can.
 void spreadOverDomains(std::vector<AddressCandidate> &Candidates) {
@@ -43,7 +40,7 @@
   if (EntryVms.empty())
     return Chosen;
   for (const AddressCandidate &Peer : EntryVms.subspan(1))
-    if (Now - Peer.EvidenceAt <= EvidenceLimit)
+    if (Now - Peer.EvidenceAt <= membership::EvidenceLimit)
       Chosen.push_back(Peer);
   this->shuffle(Chosen);
   // This VM goes first so that it is in the answer whatever MaxAddresses is.
--- a/Source/UnitTests/Frontend/CallerServerTest.cpp
+++ b/Source/UnitTests/Frontend/CallerServerTest.cpp
@@ -56,8 +56,12 @@
   common::SystemClock Time;
   common::SeededRandom Random{1};
   FakeGateway Gateway;
-  CallDispatcher Calls{common::VmId("entry-1"), this->Gateway, *this,
-                       this->Time, this->Random};
+  CallDispatcher Calls{common::VmId("entry-1"),
+                       common::Incarnation(~0ULL),
+                       this->Gateway,
+                       *this,
+                       this->Time,
+                       this->Random};
   CallerServer Server{makeSettings(), this->Calls, this->Time};
 };
 
@@ -107,7 +111,9 @@
 }
 
 TEST_F(CallerServerTest, OperatorPagesAreAnswered) {
-  EXPECT_EQ(bodyOf(this->call("GET /v1/status")).string("state"), "joining");
+  const auto Status = bodyOf(this->call("GET /v1/status"));
+  EXPECT_EQ(Status.string("state"), "joining");
+  EXPECT_EQ(Status.string("incarnation"), "18446744073709551615");
   EXPECT_NE(this->call("GET /metrics").find("# TYPE"), std::string::npos);
   EXPECT_NE(this->call("GET /v1/audit?after=4").find(R"("sequence":5)"),
             std::string::npos);
--- a/Source/UnitTests/Peering/FleetNode.h
+++ b/Source/UnitTests/Peering/FleetNode.h
@@ -34,8 +34,8 @@
         std::make_unique<control::ControlState>(Settings, this->Time),
         this->Time);
     this->Member = std::make_unique<FleetMember>(
-        this->Control->state(), this->Control->reactor(), this->Time,
-        this->Random, *this);
+        this->Control->state(), common::Incarnation(this->Random.next()),
+        this->Control->reactor(), this->Time, this->Random, *this);
     this->Control->start();
   }
   ~FleetNode() override { this->Control->stop(); }
--- a/Source/Upstreams/UpstreamTracker.cpp
+++ b/Source/Upstreams/UpstreamTracker.cpp
@@ -245,9 +245,10 @@
   return State != nullptr ? State->Share : 1.0;
 }
 
-std::vector<DrainNotice> UpstreamTracker::notices(common::MonotonicTime Now,
-                                                  std::size_t MaxCount) const {
-  std::vector<DrainNotice> Notices;
+std::vector<membership::DrainNotice>
+UpstreamTracker::notices(common::MonotonicTime Now,
+                         std::size_t MaxCount) const {
+  std::vector<membership::DrainNotice> Notices;
   for (const auto &[Searcher, Age] : this->Drains.recent(Now, MaxCount))
     if (const SearcherState *State = this->find(Searcher))
       Notices.push_back({State->Identity.Id, Age});
--- a/Source/Upstreams/UpstreamTracker.h
+++ b/Source/Upstreams/UpstreamTracker.h
@@ -1,8 +1,8 @@
 #ifndef ACACIACROSS_UPSTREAMS_UPSTREAMTRACKER_H
 #define ACACIACROSS_UPSTREAMS_UPSTREAMTRACKER_H
 
+#include "Membership/DrainNotice.h"
 #include "Query/SearcherAvailability.h"
-#include "Upstreams/DrainNotice.h"
 #include "Upstreams/Ejector.h"
 #include "Upstreams/PolledPage.h"
 #include "Upstreams/UpstreamEvidence.h"
@@ -59,8 +59,8 @@
   /// In (0, 1].
   double share(common::SearcherIndex Searcher) const;
   /// Leaving searchers to tell peers of, newest sign first.
-  std::vector<DrainNotice> notices(common::MonotonicTime Now,
-                                   std::size_t MaxCount) const;
+  std::vector<membership::DrainNotice> notices(common::MonotonicTime Now,
+                                               std::size_t MaxCount) const;
 
   /// Events since the last call.
   std::vector<UpstreamEvent> takeEvents();
