--- a/Source/SystemTests/Deployment.cpp
+++ b/Source/SystemTests/Deployment.cpp
@@ -169,7 +169,7 @@
 
 std::string Deployment::write(const std::string &File,
                               const std::string &Text) const {
-  const std::string Path = this->Folder + '/' + File;
+  std::string Path = this->Folder + '/' + File;
   std::ofstream Stream(Path);
   Stream << Text;
   if (!Stream.flush())
--- a/Source/SystemTests/ProcessHandle.cpp
+++ b/Source/SystemTests/ProcessHandle.cpp
@@ -30,6 +30,7 @@
   std::vector<std::string> Texts = {Program};
   Texts.insert(Texts.end(), Arguments.begin(), Arguments.end());
   std::vector<char *> Pointers;
+  Pointers.reserve(Texts.size() + 1);
   for (std::string &Text : Texts)
     Pointers.push_back(Text.data());
   Pointers.push_back(nullptr);
--- a/Source/SystemTests/RefusalSeriesTest.cpp
+++ b/Source/SystemTests/RefusalSeriesTest.cpp
@@ -33,6 +33,7 @@
   void runPhase(const std::string &Fault, Answers &All) {
     this->setFault(Fault);
     std::vector<std::future<Answers>> Callers;
+    Callers.reserve(CallersPerPhase);
     for (int Caller = 0; Caller < CallersPerPhase; ++Caller)
       Callers.push_back(std::async(std::launch::async, [&, Caller] {
         return this->callAll(Fault + '-' + std::to_string(Caller) + '-');
