--- a/Source/SystemTests/EntryVm.cpp
+++ b/Source/SystemTests/EntryVm.cpp
@@ -1,6 +1,7 @@
 #include "SystemTests/EntryVm.h"
 
 #include "SystemTests/HttpCaller.h"
+
 #include "Json/JsonWriter.h"
 
 namespace acaciacross::systemtests {
