Traffic: Follow the class document with the adaptive limit, say why targets are missed

The tolerated queueing delay was fixed when a service's thread started, and the tolerated shed part was never set from the extra-load target. Both now follow each view. The status page lists for each class why it misses its target: limit, budget empty, missing replicas or slow upstreams.

--- /dev/null
+++ b/Source/Frontend/MissReasons.h
@@ -0,0 +1,20 @@
+#ifndef ACACIACROSS_FRONTEND_MISSREASONS_H
+#define ACACIACROSS_FRONTEND_MISSREASONS_H
+
+#include "Configuration/ClassDefinition.h"
+#include "Frontend/MissReason.h"
+#include "Metrics/ClassReport.h"
+#include "Query/ServiceView.h"
+
+#include <vector>
+
+namespace acaciacross::frontend {
+
+/// Empty when the targets are met. Service may be null.
+std::vector<MissReason> missReasons(const configuration::ClassDefinition &Class,
+                                    const metrics::ClassReport &Report,
+                                    const query::ServiceView *Service);
+
+} // namespace acaciacross::frontend
+
+#endif
--- a/Source/Frontend/StatusPage.cpp
+++ b/Source/Frontend/StatusPage.cpp
@@ -1,5 +1,6 @@
 #include "Frontend/StatusPage.h"
 
+#include "Frontend/MissReasons.h"
 #include "Json/JsonWriter.h"
 
 #include <algorithm>
@@ -35,6 +36,20 @@
   return "unknown";
 }
 
+const char *nameOf(MissReason Reason) {
+  switch (Reason) {
+  case MissReason::Limit:
+    return "limit";
+  case MissReason::BudgetEmpty:
+    return "budget empty";
+  case MissReason::MissingReplicas:
+    return "missing replicas";
+  case MissReason::SlowUpstreams:
+    return "slow upstreams";
+  }
+  return "unknown";
+}
+
 double milliseconds(std::chrono::nanoseconds Time) {
   return std::chrono::duration<double, std::milli>(Time).count();
 }
@@ -69,6 +84,18 @@
       .number(Report.Running);
 }
 
+void writeReasons(JsonWriter &Json, const control::ControlView &View,
+                  const configuration::ClassDefinition &Class,
+                  const metrics::ClassReport &Report) {
+  const auto Service = View.Services.find(Class.Service);
+  const query::ServiceView *Known =
+      Service == View.Services.end() ? nullptr : Service->second.get();
+  Json.key("missed_because").beginArray();
+  for (const MissReason Reason : missReasons(Class, Report, Known))
+    Json.string(nameOf(Reason));
+  Json.endArray();
+}
+
 const metrics::ClassReport *find(std::span<const metrics::ClassReport> Reports,
                                  const configuration::ClassDefinition &Class) {
   const auto Found = std::find_if(
@@ -90,8 +117,10 @@
         .key("repeatable")
         .boolean(Class.Repeatable);
     writeTarget(Json, Class);
-    if (const auto *Report = find(Reports, Class))
+    if (const auto *Report = find(Reports, Class)) {
       writeAchieved(Json, *Report);
+      writeReasons(Json, View, Class, *Report);
+    }
     Json.endObject();
   }
   Json.endArray();
--- a/Source/Limits/AdaptiveLimit.cpp
+++ b/Source/Limits/AdaptiveLimit.cpp
@@ -28,6 +28,10 @@
 AdaptiveLimit::AdaptiveLimit(AdaptiveLimitSettings Bounds)
     : Bounds(Bounds), Latencies(RoundSize) {}
 
+void AdaptiveLimit::reconfigure(AdaptiveLimitSettings Changed) {
+  this->Bounds = Changed;
+}
+
 std::uint32_t AdaptiveLimit::value() const {
   return static_cast<std::uint32_t>(this->Limit);
 }
--- a/Source/Limits/AdaptiveLimit.h
+++ b/Source/Limits/AdaptiveLimit.h
@@ -15,6 +15,9 @@
 public:
   explicit AdaptiveLimit(AdaptiveLimitSettings Bounds);
 
+  /// Changes the bounds; the limit stays until the next round.
+  void reconfigure(AdaptiveLimitSettings Changed);
+
   /// At least 1 and at most the maximum.
   std::uint32_t value() const;
   /// Told of each finished query. ShedPart: part of its attempts that searchers
--- a/Source/Limits/AdmissionQueue.cpp
+++ b/Source/Limits/AdmissionQueue.cpp
@@ -34,6 +34,10 @@
 
 AdmissionQueue::AdmissionQueue(AdaptiveLimitSettings Bounds) : Limit(Bounds) {}
 
+void AdmissionQueue::setBounds(AdaptiveLimitSettings Bounds) {
+  this->Limit.reconfigure(Bounds);
+}
+
 void AdmissionQueue::configure(const common::ClassName &Class,
                                AdmissionClass Settings) {
   this->Queues.try_emplace(Class.Value, WindowSamples).first->second.Settings =
--- a/Source/Limits/AdmissionQueue.h
+++ b/Source/Limits/AdmissionQueue.h
@@ -19,6 +19,9 @@
 public:
   explicit AdmissionQueue(AdaptiveLimitSettings Bounds);
 
+  /// Changes the bounds of the adaptive limit.
+  void setBounds(AdaptiveLimitSettings Bounds);
+
   /// Adds a class or changes its settings.
   void configure(const common::ClassName &Class, AdmissionClass Settings);
 
--- a/Source/Metrics/ClassReport.h
+++ b/Source/Metrics/ClassReport.h
@@ -38,6 +38,8 @@
   /// Extra attempts that the budget holds.
   std::uint64_t BudgetLeft = 0;
   std::uint64_t Running = 0;
+  /// Requests of all classes of the service that wait for their admission.
+  std::uint64_t ServiceQueued = 0;
 
   double extraLoad() const {
     return this->FirstAttempts == 0
--- a/Source/Traffic/EngineSettings.h
+++ b/Source/Traffic/EngineSettings.h
@@ -22,7 +22,8 @@
 
   std::chrono::milliseconds TicketValidity = std::chrono::minutes(1);
   tickets::TicketTableLimits TicketLimits;
-  /// Bounds of the queries that run at the same time.
+  /// Bounds of the queries that run at the same time, where the targets of the
+  /// classes do not determine them.
   limits::AdaptiveLimitSettings Admission;
 };
 
--- a/Source/Traffic/ServiceEngine.cpp
+++ b/Source/Traffic/ServiceEngine.cpp
@@ -1,6 +1,7 @@
 #include "Traffic/ServiceEngine.h"
 
 #include "Common/Log.h"
+#include "Traffic/AdmissionBounds.h"
 
 #include <algorithm>
 #include <chrono>
@@ -36,6 +37,8 @@
   const auto Found = View.Services.find(this->Settings.Service);
   this->Service = Found == View.Services.end() ? nullptr : Found->second;
   this->Classes.update(View);
+  this->Admission.setBounds(
+      admissionBounds(this->Settings.Service, View, this->Settings.Admission));
   for (const ClassState *Class : this->Classes.current())
     this->Admission.configure(Class->Definition.Name,
                               admissionOf(Class->Definition));
@@ -256,7 +259,10 @@
 }
 
 std::vector<metrics::ClassReport> ServiceEngine::reports() const {
-  return this->Classes.reports();
+  std::vector<metrics::ClassReport> Reports = this->Classes.reports();
+  for (metrics::ClassReport &Report : Reports)
+    Report.ServiceQueued = this->Admission.queued();
+  return Reports;
 }
 
 } // namespace acaciacross::traffic
--- a/Source/Traffic/TrafficRouter.cpp
+++ b/Source/Traffic/TrafficRouter.cpp
@@ -2,8 +2,6 @@
 
 #include "Traffic/ReportCollector.h"
 
-#include <algorithm>
-#include <optional>
 #include <utility>
 
 namespace acaciacross::traffic {
@@ -13,20 +11,6 @@
 // Each thread has 2^48 numbers for attempts and for tickets.
 constexpr unsigned WorkerNumberShift = 48;
 
-// A quarter of the smallest latency target leaves the rest for the searchers.
-constexpr int ToleratedDelayDivisor = 4;
-
-std::chrono::nanoseconds toleratedDelay(const common::ServiceName &Service,
-                                        const control::ControlView &View) {
-  std::optional<std::chrono::nanoseconds> Smallest;
-  for (const auto &[Name, Class] : View.Classes)
-    if (Class.Service == Service)
-      Smallest = std::min<std::chrono::nanoseconds>(
-          Smallest.value_or(Class.LatencyTarget), Class.LatencyTarget);
-  return Smallest ? *Smallest / ToleratedDelayDivisor
-                  : limits::AdaptiveLimitSettings().ToleratedDelay;
-}
-
 TrafficReply makeReply(query::Outcome Outcome) {
   return {std::make_shared<const query::Outcome>(std::move(Outcome)), {}};
 }
@@ -50,7 +34,7 @@
   for (const auto &[Name, Service] : View->Services) {
     std::shared_ptr<TrafficWorker> &Worker = this->Workers[Name];
     if (!Worker)
-      Worker = this->startWorker(Name, *View);
+      Worker = this->startWorker(Name);
   }
   for (const auto &[Name, Worker] : this->Workers)
     Worker->updateView(View);
@@ -58,14 +42,12 @@
 }
 
 std::shared_ptr<TrafficWorker>
-TrafficRouter::startWorker(const common::ServiceName &Name,
-                           const control::ControlView &View) {
+TrafficRouter::startWorker(const common::ServiceName &Name) {
   EngineSettings Chosen;
   Chosen.Service = Name;
   Chosen.Identity = this->Settings.Identity;
   Chosen.FirstSequence = static_cast<std::uint64_t>(this->ByNumber.size())
                          << WorkerNumberShift;
-  Chosen.Admission.ToleratedDelay = toleratedDelay(Name, View);
   Chosen.RandomSeed = this->Random.next();
   this->ByNumber.push_back(std::make_shared<TrafficWorker>(
       std::move(Chosen), this->Ticker, this->Evidence));
--- a/Source/Traffic/TrafficRouter.h
+++ b/Source/Traffic/TrafficRouter.h
@@ -40,8 +40,7 @@
   void stop(std::chrono::milliseconds Grace);
 
 private:
-  std::shared_ptr<TrafficWorker> startWorker(const common::ServiceName &Name,
-                                             const control::ControlView &View);
+  std::shared_ptr<TrafficWorker> startWorker(const common::ServiceName &Name);
 
   /// Null and a code when the request cannot be handed to a worker.
   std::shared_ptr<TrafficWorker> workerForClass(const common::ClassName &Class,
--- /dev/null
+++ b/Source/UnitTests/Frontend/MissReasonsTest.cpp
@@ -0,0 +1,66 @@
+#include "Frontend/MissReasons.h"
+
+#include <gtest/gtest.h>
+
+namespace acaciacross::frontend {
+
+using std::chrono::milliseconds;
+using Reasons = std::vector<MissReason>;
+
+class MissReasonsTest : public testing::Test {
+protected:
+  MissReasonsTest() {
+    this->Class.LatencyTarget = milliseconds(80);
+    this->Class.CoverageTarget = 0.99;
+    this->Report.Answers = 100;
+    this->Report.LatencyAtTarget = milliseconds(50);
+    this->Report.MeanCoverage = 1.0;
+    this->Report.BudgetLeft = 5;
+    this->Service.Searchers.resize(2);
+    this->Service.Snapshots.push_back(
+        {common::SnapshotId("s"), {{common::ShardId(0), {0, 9}, 1, {0, 1}}}});
+  }
+
+  Reasons reasons() const {
+    return missReasons(this->Class, this->Report, &this->Service);
+  }
+
+  configuration::ClassDefinition Class;
+  metrics::ClassReport Report;
+  query::ServiceView Service;
+};
+
+TEST_F(MissReasonsTest, MetTargetHasNoReason) {
+  this->Report.BudgetLeft = 0;
+  this->Report.ServiceQueued = 3;
+  EXPECT_EQ(this->reasons(), Reasons());
+}
+
+// The operator must not look for slow searchers when requests wait here.
+TEST_F(MissReasonsTest, LateAnswersAreTheLimitOrTheUpstreams) {
+  this->Report.LatencyAtTarget = milliseconds(81);
+  EXPECT_EQ(this->reasons(), Reasons{MissReason::SlowUpstreams});
+  this->Report.ServiceQueued = 1;
+  EXPECT_EQ(this->reasons(), Reasons{MissReason::Limit});
+}
+
+TEST_F(MissReasonsTest, PartialAnswersAreTheBudgetOrTheReplicas) {
+  this->Report.MeanCoverage = 0.9;
+  this->Report.BudgetLeft = 0;
+  EXPECT_EQ(this->reasons(), Reasons{MissReason::BudgetEmpty});
+  this->Report.BudgetLeft = 1;
+  this->Service.Searchers[0].Availability =
+      query::SearcherAvailability::Leaving;
+  EXPECT_EQ(this->reasons(), Reasons());
+  this->Service.Searchers[1].Availability =
+      query::SearcherAvailability::Ejected;
+  EXPECT_EQ(this->reasons(), Reasons{MissReason::MissingReplicas});
+}
+
+TEST_F(MissReasonsTest, WaitingWithoutAnyAnswerIsTheLimit) {
+  this->Report.Answers = 0;
+  this->Report.ServiceQueued = 1;
+  EXPECT_EQ(this->reasons(), Reasons{MissReason::Limit});
+}
+
+} // namespace acaciacross::frontend
--- a/Source/UnitTests/Limits/AdaptiveLimitTest.cpp
+++ b/Source/UnitTests/Limits/AdaptiveLimitTest.cpp
@@ -25,6 +25,15 @@
   EXPECT_EQ(this->Limit.value(), 8U);
 }
 
+TEST_F(AdaptiveLimitTest, ChangedBoundsHoldFromTheNextRound) {
+  this->finish(1'000, milliseconds(5), 0.0, true);
+  this->finish(64, milliseconds(20), 0.0, true);
+  EXPECT_EQ(this->Limit.value(), 8U);
+  this->Limit.reconfigure({8, milliseconds(10)});
+  this->finish(64, milliseconds(20), 0.0, true);
+  EXPECT_LT(this->Limit.value(), 8U);
+}
+
 // A limit that rises in quiet hours would not limit the next burst.
 TEST_F(AdaptiveLimitTest, UnusedLimitDoesNotRise) {
   this->finish(1'000, milliseconds(5), 0.0, false);
