Traffic: Bound what grows with the life of the process

A held-up traffic thread collected a view twice a second; only the newest one waits now. Classes that left the configuration were kept for ever, in the class table and in the admission queue; beyond 64 those that no query refers to are dropped. The table of searcher ids kept every id that it had seen; when more than half are in no document, these are dropped, and no position is given twice.

Classes without extra load no longer set the tolerated shed part: with 0, one shed attempt would lower the limit of the whole service.

--- a/Source/Control/ControlState.cpp
+++ b/Source/Control/ControlState.cpp
@@ -1,8 +1,10 @@
 #include "Control/ControlState.h"
 
 #include "Common/Log.h"
+
 #include "Control/UpstreamEventText.h"
 #include "Upstreams/FailureEjectionPolicy.h"
+#include <set>
 
 namespace acaciacross::control {
 
@@ -203,6 +205,7 @@
   for (const common::ServiceName &Name :
        this->Builder.setDocuments(this->Store))
     this->installService(*this->Store.services().at(Name));
+  this->dropGoneSearchers();
   this->takeUpstreamChanges();
   this->refreshServingState();
   this->Changed = true;
@@ -227,6 +230,23 @@
   this->noteOutOfReach(Document);
 }
 
+// Searchers get new ids with each replacement, for as long as this process
+// runs. Half of the table may be old, so that not every document costs a pass
+// over all searchers.
+void ControlState::dropGoneSearchers() {
+  std::size_t Count = 0;
+  for (const auto &[Name, Document] : this->Store.services())
+    Count += Document->Searchers.size();
+  if (this->Searchers.size() <= 2 * Count)
+    return;
+  std::set<common::SearcherId> Kept;
+  for (const auto &[Name, Document] : this->Store.services())
+    for (const configuration::SearcherDefinition &Searcher :
+         Document->Searchers)
+      Kept.insert(Searcher.Id);
+  this->Searchers.retain(Kept);
+}
+
 void ControlState::noteOutOfReach(
     const configuration::ServiceDocument &Document) {
   if (this->Store.classes() == nullptr)
--- a/Source/Control/ControlState.h
+++ b/Source/Control/ControlState.h
@@ -86,6 +86,7 @@
 private:
   void installDocuments();
   void installService(const configuration::ServiceDocument &Document);
+  void dropGoneSearchers();
   void refreshServingState();
   void takeUpstreamChanges();
   void noteOutOfReach(const configuration::ServiceDocument &Document);
--- a/Source/Control/SearcherTable.cpp
+++ b/Source/Control/SearcherTable.cpp
@@ -3,10 +3,12 @@
 namespace acaciacross::control {
 
 common::SearcherIndex SearcherTable::assign(const common::SearcherId &Id) {
-  const common::SearcherIndex Next(static_cast<std::uint32_t>(Ids.size()));
+  const common::SearcherIndex Next(this->NextPosition);
   const auto [Position, IsNew] = this->Positions.emplace(Id, Next);
-  if (IsNew)
-    this->Ids.push_back(Id);
+  if (IsNew) {
+    this->Ids.emplace(Next, Id);
+    ++this->NextPosition;
+  }
   return Position->second;
 }
 
@@ -20,9 +22,19 @@
 
 std::optional<common::SearcherId>
 SearcherTable::idOf(common::SearcherIndex Index) const {
-  if (Index.Value >= this->Ids.size())
+  const auto Known = this->Ids.find(Index);
+  if (Known == this->Ids.end())
     return std::nullopt;
-  return this->Ids[Index.Value];
+  return Known->second;
 }
 
+void SearcherTable::retain(const std::set<common::SearcherId> &Kept) {
+  std::erase_if(this->Ids,
+                [&](const auto &Each) { return !Kept.contains(Each.second); });
+  std::erase_if(this->Positions,
+                [&](const auto &Each) { return !Kept.contains(Each.first); });
+}
+
+std::size_t SearcherTable::size() const { return this->Positions.size(); }
+
 } // namespace acaciacross::control
--- a/Source/Limits/AdmissionQueue.cpp
+++ b/Source/Limits/AdmissionQueue.cpp
@@ -44,6 +44,12 @@
       Settings;
 }
 
+void AdmissionQueue::remove(const common::ClassName &Class) {
+  this->Queues.erase(Class.Value);
+}
+
+std::size_t AdmissionQueue::classCount() const { return this->Queues.size(); }
+
 AdmissionDecision AdmissionQueue::offer(const AdmissionEntry &Entry,
                                         common::MonotonicTime Now) {
   ClassQueue &Queue = this->Queues.at(Entry.Class.Value);
--- a/Source/Limits/AdmissionQueue.h
+++ b/Source/Limits/AdmissionQueue.h
@@ -25,6 +25,11 @@
   /// Adds a class or changes its settings.
   void configure(const common::ClassName &Class, AdmissionClass Settings);
 
+  /// Removes a class of which nothing waits or runs.
+  void remove(const common::ClassName &Class);
+  /// Number of classes.
+  std::size_t classCount() const;
+
   /// The class must be configured.
   AdmissionDecision offer(const AdmissionEntry &Entry,
                           common::MonotonicTime Now);
--- a/Source/Traffic/AdmissionBounds.cpp
+++ b/Source/Traffic/AdmissionBounds.cpp
@@ -1,6 +1,7 @@
 #include "Traffic/AdmissionBounds.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace acaciacross::traffic {
 
@@ -19,19 +20,23 @@
 admissionBounds(const common::ServiceName &Service,
                 const control::ControlView &View,
                 limits::AdaptiveLimitSettings Base) {
-  bool IsFirst = true;
+  std::optional<std::chrono::nanoseconds> Delay;
+  std::optional<double> ShedPart;
   for (const auto &[Name, Class] : View.Classes) {
     if (Class.Service != Service)
       continue;
-    const std::chrono::nanoseconds Delay =
+    const std::chrono::nanoseconds Tolerated =
         std::chrono::nanoseconds(Class.LatencyTarget) / ToleratedDelayDivisor;
-    const double ShedPart = Class.ExtraLoadTarget * ToleratedShedFactor;
-    Base.ToleratedDelay =
-        IsFirst ? Delay : std::min(Base.ToleratedDelay, Delay);
-    Base.ToleratedShedPart =
-        IsFirst ? ShedPart : std::min(Base.ToleratedShedPart, ShedPart);
-    IsFirst = false;
+    Delay = std::min(Delay.value_or(Tolerated), Tolerated);
+    // A class without extra load pays for no retries. A tolerated part of 0
+    // would lower the limit of the whole service on every shed attempt.
+    if (Class.ExtraLoadTarget == 0.0)
+      continue;
+    const double Part = Class.ExtraLoadTarget * ToleratedShedFactor;
+    ShedPart = std::min(ShedPart.value_or(Part), Part);
   }
+  Base.ToleratedDelay = Delay.value_or(Base.ToleratedDelay);
+  Base.ToleratedShedPart = ShedPart.value_or(Base.ToleratedShedPart);
   return Base;
 }
 
--- a/Source/Traffic/ClassTable.cpp
+++ b/Source/Traffic/ClassTable.cpp
@@ -41,6 +41,23 @@
   }
 }
 
+std::vector<common::ClassName>
+ClassTable::dropUnused(const std::set<const ClassState *> &Used) {
+  std::vector<common::ClassName> Dropped;
+  std::erase_if(this->Classes, [&](const auto &Each) {
+    const bool IsUsed =
+        Each.second->IsCurrent || Used.contains(Each.second.get());
+    if (!IsUsed)
+      Dropped.push_back(Each.first);
+    return !IsUsed;
+  });
+  return Dropped;
+}
+
+std::size_t ClassTable::unusedCount() const {
+  return this->Classes.size() - this->current().size();
+}
+
 ClassState *ClassTable::find(const common::ClassName &Name) {
   const auto Found = this->Classes.find(Name);
   const bool IsCurrent =
--- a/Source/Traffic/ClassTable.h
+++ b/Source/Traffic/ClassTable.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace acaciacross::traffic {
@@ -18,6 +19,16 @@
 
   void update(const control::ControlView &View);
 
+  /// Drops classes that have left the configuration, unless they are in Used;
+  /// gives their names.
+  std::vector<common::ClassName>
+  dropUnused(const std::set<const ClassState *> &Used);
+  /// Classes that have left the configuration and are kept all the same.
+  std::size_t unusedCount() const;
+  /// Beyond this they are to be dropped. Some are kept, since a class that
+  /// comes back goes on with its counts.
+  static constexpr std::size_t MaxUnused = 64;
+
   /// Null when the class is not in the configuration in effect, or not of this
   /// service.
   ClassState *find(const common::ClassName &Name);
--- a/Source/Traffic/ServiceEngine.cpp
+++ b/Source/Traffic/ServiceEngine.cpp
@@ -42,6 +42,8 @@
   for (const ClassState *Class : this->Classes.current())
     this->Admission.configure(Class->Definition.Name,
                               admissionOf(Class->Definition));
+  if (this->Classes.unusedCount() > ClassTable::MaxUnused)
+    this->dropUnusedClasses();
   if (!this->Service)
     return;
   this->Selector.updateView(*this->Service);
@@ -50,6 +52,14 @@
       Query.Execution->onViewChanged(this->Service);
 }
 
+void ServiceEngine::dropUnusedClasses() {
+  std::set<const ClassState *> Used;
+  for (const auto &[Number, Query] : this->Queries)
+    Used.insert(Query.Class);
+  for (const common::ClassName &Name : this->Classes.dropUnused(Used))
+    this->Admission.remove(Name);
+}
+
 void ServiceEngine::accept(TrafficRequest Request,
                            std::shared_ptr<ReplySink> Sink) {
   const common::MonotonicTime Now = this->Ticker.monotonicNow();
@@ -254,6 +264,10 @@
 
 std::size_t ServiceEngine::openCount() const { return this->Queries.size(); }
 
+std::size_t ServiceEngine::classCount() const {
+  return this->Admission.classCount();
+}
+
 std::vector<control::UpstreamEvidence> ServiceEngine::takeEvidence() {
   return this->Attempts.takeEvidence();
 }
--- a/Source/Traffic/ServiceEngine.h
+++ b/Source/Traffic/ServiceEngine.h
@@ -46,6 +46,9 @@
   /// Queries that run or wait.
   std::size_t openCount() const;
 
+  /// Classes that it keeps, also those that have left the configuration.
+  std::size_t classCount() const;
+
   std::vector<control::UpstreamEvidence> takeEvidence();
   std::vector<metrics::ClassReport> reports() const;
 
@@ -61,6 +64,7 @@
   void offer(const limits::AdmissionEntry &Entry, common::MonotonicTime Now);
   /// Runs or refuses what has waited.
   void admitWaiting();
+  void dropUnusedClasses();
   /// After each call into an execution: answers it when it has finished, else
   /// sets its timer.
   void settle(std::uint64_t Number);
--- a/Source/Traffic/TrafficWorker.cpp
+++ b/Source/Traffic/TrafficWorker.cpp
@@ -30,16 +30,31 @@
 
 void TrafficWorker::post(Task Work) { this->Tasks.post(std::move(Work)); }
 
+// A thread that is held up for long must not collect views.
 void TrafficWorker::updateView(
     std::shared_ptr<const control::ControlView> View) {
-  this->post([this, Newest = std::move(View)](ServiceEngine &Each) {
-    this->applyLimits(*Newest);
-    const auto Service = Newest->Services.find(this->Name);
-    this->Polls.updateService(
-        Service == Newest->Services.end() ? nullptr : Service->second,
-        this->Ticker.monotonicNow());
-    Each.updateView(*Newest);
-  });
+  bool IsPosted = false;
+  {
+    const std::lock_guard Guard(this->ViewMutex);
+    IsPosted = this->NextView != nullptr;
+    this->NextView = std::move(View);
+  }
+  if (!IsPosted)
+    this->post([this](ServiceEngine &) { this->takeView(); });
+}
+
+void TrafficWorker::takeView() {
+  std::shared_ptr<const control::ControlView> View;
+  {
+    const std::lock_guard Guard(this->ViewMutex);
+    View = std::exchange(this->NextView, nullptr);
+  }
+  this->applyLimits(*View);
+  const auto Service = View->Services.find(this->Name);
+  this->Polls.updateService(Service == View->Services.end() ? nullptr
+                                                            : Service->second,
+                            this->Ticker.monotonicNow());
+  this->Engine.updateView(*View);
 }
 
 // libcurl has one limit for all hosts of a handle, so the smallest quota of the
--- a/Source/Traffic/TrafficWorker.h
+++ b/Source/Traffic/TrafficWorker.h
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <thread>
 
 namespace acaciacross::traffic {
@@ -31,6 +32,7 @@
 
   /// Runs on the traffic thread, in the order of posting. Thread-safe.
   void post(Task Work);
+  /// Only the newest view waits for the thread. Thread-safe.
   void updateView(std::shared_ptr<const control::ControlView> View);
 
   /// Ends the thread when no query runs any more, at the latest after Grace;
@@ -44,6 +46,7 @@
   void poll();
   bool isOver() const;
   std::chrono::milliseconds untilNextEvent() const;
+  void takeView();
   void applyLimits(const control::ControlView &View);
 
   const common::Clock &Ticker;
@@ -54,6 +57,9 @@
   PollSchedule Polls;
   ServiceEngine Engine;
   Mailbox<Task> Tasks;
+  std::mutex ViewMutex;
+  /// Not taken by the thread yet. Guarded by ViewMutex.
+  std::shared_ptr<const control::ControlView> NextView;
   bool IsStopping = false;
   common::MonotonicTime StopAt;
   std::thread Thread;
--- a/Source/UnitTests/Traffic/AdmissionBoundsTest.cpp
+++ b/Source/UnitTests/Traffic/AdmissionBoundsTest.cpp
@@ -33,6 +33,16 @@
   EXPECT_EQ(this->bounds().Max, 7U);
 }
 
+// One shed attempt in 16 queries would bring the service down to one query.
+TEST_F(AdmissionBoundsTest, ClassWithoutExtraLoadDoesNotRule) {
+  this->classNamed("read").ExtraLoadTarget = 0.1;
+  this->classNamed("book").ExtraLoadTarget = 0.0;
+  EXPECT_DOUBLE_EQ(this->bounds().ToleratedShedPart, 0.05);
+  this->classNamed("read").ExtraLoadTarget = 0.0;
+  EXPECT_DOUBLE_EQ(this->bounds().ToleratedShedPart,
+                   limits::AdaptiveLimitSettings().ToleratedShedPart);
+}
+
 // Bounds that were fixed at the start of the thread would let requests of a
 // tightened class wait too long at the searchers.
 TEST_F(AdmissionBoundsTest, ChangedTargetChangesTheBounds) {
--- a/Source/UnitTests/Traffic/ServiceEngineTest.cpp
+++ b/Source/UnitTests/Traffic/ServiceEngineTest.cpp
@@ -179,4 +179,20 @@
   EXPECT_EQ(this->Engine.openCount(), 0U);
 }
 
+// Operators rename classes for as long as the process runs; running queries
+// refer to the classes that they were admitted with.
+TEST_F(ServiceEngineTest, ClassesThatLeftAreDroppedUnlessTheyAreInUse) {
+  const auto Running = this->send("read");
+  configuration::ClassDefinition Renamed = this->View->Classes.begin()->second;
+  for (int I = 0; I < 1000; ++I) {
+    Renamed.Name = common::ClassName("class-" + std::to_string(I));
+    this->View->Classes = {{Renamed.Name, Renamed}};
+    this->Engine.updateView(*this->View);
+    ASSERT_LE(this->Engine.classCount(), ClassTable::MaxUnused + 2);
+  }
+  this->end(0, query::AttemptStatus::Answered);
+  EXPECT_TRUE(
+      std::holds_alternative<query::CompleteAnswer>(*Running->first().Result));
+}
+
 } // namespace acaciacross::traffic
