UnitTests: share fixtures of parser and control tests

Three parser tests each had their own function that gives the error of a changed sample, and two tests their own way to ask the control thread. One template serves each (ParserError.h, ControlQuestion.h); the checks are the same. ReadingFleet takes the probe period from FleetLimits.h.

Left as they are: pairs that are alike in shape only (headers, parsers of different messages).

--- a/Source/UnitTests/Configuration/ClassDocumentParserTest.cpp
+++ b/Source/UnitTests/Configuration/ClassDocumentParserTest.cpp
@@ -1,7 +1,6 @@
 #include "Configuration/ClassDocumentParser.h"
 
-#include "Configuration/ConfigurationError.h"
-#include "UnitTests/Configuration/SampleDocuments.h"
+#include "UnitTests/Configuration/ParserError.h"
 
 #include <gtest/gtest.h>
 
@@ -12,13 +11,9 @@
   /// Message of the error for the sample with From replaced by To; empty when
   /// the text is accepted.
   std::string errorOf(const std::string &From, const std::string &To) {
-    try {
-      ClassDocumentParser::parse(replaced(SampleClasses, From, To), "classes");
-    } catch (const ConfigurationError &Error) {
-      EXPECT_EQ(Error.code(), common::ResultCode::DocumentInvalid);
-      return Error.what();
-    }
-    return "";
+    return errorOfChanged<ClassDocumentParser>(
+        SampleClasses, "classes", common::ResultCode::DocumentInvalid, From,
+        To);
   }
 };
 
--- a/Source/UnitTests/Configuration/EntrySettingsParserTest.cpp
+++ b/Source/UnitTests/Configuration/EntrySettingsParserTest.cpp
@@ -1,7 +1,6 @@
 #include "Configuration/EntrySettingsParser.h"
 
-#include "Configuration/ConfigurationError.h"
-#include "UnitTests/Configuration/SampleDocuments.h"
+#include "UnitTests/Configuration/ParserError.h"
 
 #include <gtest/gtest.h>
 
@@ -10,14 +9,9 @@
 class EntrySettingsParserTest : public testing::Test {
 protected:
   std::string errorOf(const std::string &From, const std::string &To) {
-    try {
-      EntrySettingsParser::parse(replaced(SampleSettings, From, To),
-                                 "entry.toml");
-    } catch (const ConfigurationError &Error) {
-      EXPECT_EQ(Error.code(), common::ResultCode::SettingInvalid);
-      return Error.what();
-    }
-    return "";
+    return errorOfChanged<EntrySettingsParser>(
+        SampleSettings, "entry.toml", common::ResultCode::SettingInvalid, From,
+        To);
   }
 };
 
--- a/Source/UnitTests/Configuration/ReadingFleet.cpp
+++ b/Source/UnitTests/Configuration/ReadingFleet.cpp
@@ -1,6 +1,7 @@
 #include "UnitTests/Configuration/ReadingFleet.h"
 
 #include "Configuration/ReaderElection.h"
+#include "Membership/FleetLimits.h"
 
 #include <algorithm>
 #include <memory>
@@ -9,10 +10,9 @@
 namespace acaciacross::configuration {
 
 namespace {
-
-// Times of the parts around the schedule: FleetLimits.h, ConfigurationSync and
+// Times of the parts around the schedule: ConfigurationSync and
 // ConfigurationWatcher.
-constexpr std::chrono::milliseconds ProbePeriod{200};
+
 constexpr std::chrono::milliseconds PullFailureDelay{1000};
 constexpr std::chrono::milliseconds WatchTime{2000};
 constexpr std::chrono::milliseconds FailedWatchTime{7000};
@@ -94,7 +94,7 @@
     else if (Vm->Reads.takeDueRead(this->now()))
       this->read(*Vm);
   }
-  this->Clock.advance(ProbePeriod);
+  this->Clock.advance(membership::ProbePeriod);
 }
 
 void ReadingFleet::disturb() {
--- a/Source/UnitTests/Configuration/ServiceDocumentParserTest.cpp
+++ b/Source/UnitTests/Configuration/ServiceDocumentParserTest.cpp
@@ -1,7 +1,6 @@
 #include "Configuration/ServiceDocumentParser.h"
 
-#include "Configuration/ConfigurationError.h"
-#include "UnitTests/Configuration/SampleDocuments.h"
+#include "UnitTests/Configuration/ParserError.h"
 
 #include <gtest/gtest.h>
 
@@ -10,14 +9,9 @@
 class ServiceDocumentParserTest : public testing::Test {
 protected:
   std::string errorOf(const std::string &From, const std::string &To) {
-    try {
-      ServiceDocumentParser::parse(replaced(SampleService, From, To),
-                                   "service/crew-dispatch");
-    } catch (const ConfigurationError &Error) {
-      EXPECT_EQ(Error.code(), common::ResultCode::DocumentInvalid);
-      return Error.what();
-    }
-    return "";
+    return errorOfChanged<ServiceDocumentParser>(
+        SampleService, "service/crew-dispatch",
+        common::ResultCode::DocumentInvalid, From, To);
   }
 };
 
--- /dev/null
+++ b/Source/UnitTests/Control/ControlQuestion.h
@@ -0,0 +1,23 @@
+#ifndef ACACIACROSS_UNITTESTS_CONTROL_CONTROLQUESTION_H
+#define ACACIACROSS_UNITTESTS_CONTROL_CONTROLQUESTION_H
+
+#include "Control/ControlThread.h"
+
+#include <functional>
+#include <future>
+
+namespace acaciacross::control {
+
+/// Runs the work on the control thread, after everything posted so far, and
+/// gives its result.
+template <typename Result>
+Result askControl(ControlThread &Control,
+                  const std::function<Result(ControlState &)> &Work) {
+  std::promise<Result> Promise;
+  Control.post([&](ControlState &State) { Promise.set_value(Work(State)); });
+  return Promise.get_future().get();
+}
+
+} // namespace acaciacross::control
+
+#endif
--- a/Source/UnitTests/Peering/FleetNode.h
+++ b/Source/UnitTests/Peering/FleetNode.h
@@ -5,11 +5,11 @@
 #include "Common/SystemClock.h"
 #include "Control/ControlThread.h"
 #include "Peering/FleetMember.h"
+#include "UnitTests/Control/ControlQuestion.h"
 
 #include <atomic>
 #include <chrono>
 #include <functional>
-#include <future>
 #include <memory>
 #include <string>
 #include <thread>
@@ -46,10 +46,7 @@
   /// Runs the work on the control thread and gives its result.
   template <typename Result>
   Result ask(std::function<Result(control::ControlState &)> Work) {
-    std::promise<Result> Promise;
-    this->Control->post(
-        [&](control::ControlState &State) { Promise.set_value(Work(State)); });
-    return Promise.get_future().get();
+    return control::askControl<Result>(*this->Control, Work);
   }
 
   /// Until the condition holds; false after ten seconds.
--- a/Source/UnitTests/Platform/PlatformClientTest.cpp
+++ b/Source/UnitTests/Platform/PlatformClientTest.cpp
@@ -3,10 +3,9 @@
 #include "Platform/ConfigurationWatcher.h"
 #include "Platform/VmListPoller.h"
 #include "UnitTests/Configuration/SampleDocuments.h"
+#include "UnitTests/Control/ControlQuestion.h"
 #include "UnitTests/Platform/FakePlatform.h"
 
-#include <future>
-
 #include <gtest/gtest.h>
 
 namespace acaciacross::platform {
@@ -19,10 +18,7 @@
   /// Runs Read on the control thread after everything posted so far.
   template <typename Value>
   Value read(std::function<Value(control::ControlState &)> Read) {
-    std::promise<Value> Result;
-    this->Control.post(
-        [&](control::ControlState &State) { Result.set_value(Read(State)); });
-    return Result.get_future().get();
+    return control::askControl<Value>(this->Control, Read);
   }
 
   std::uint64_t inEffect() {
