Membership: tell of two live VMs with the same id

Cause: a VM set up with the id of another looked like a restart to peers, and the two passed over each other's messages.

Change: VMs with the same id answer each other's probes, and each logs (event 305) and audits the other run once. Both VMs keep serving; peers name only the run that answered last. PeerLost is now logged as the warning that the catalogue says it is.

Ruled out: that one of the two stops itself, since after a mistake in the settings it could be the right one, and tickets, attempts and quotas do not depend on the id.

--- a/Source/Common/LogEvent.cpp
+++ b/Source/Common/LogEvent.cpp
@@ -24,6 +24,7 @@
     LogEvent::PeerLost,
     LogEvent::PeerRestarted,
     LogEvent::VmListUnavailable,
+    LogEvent::VmIdDuplicate,
     LogEvent::SearcherEjected,
     LogEvent::SearcherRestored,
     LogEvent::SearcherLeaving,
@@ -76,6 +77,8 @@
     return "PeerRestarted";
   case LogEvent::VmListUnavailable:
     return "VmListUnavailable";
+  case LogEvent::VmIdDuplicate:
+    return "VmIdDuplicate";
   case LogEvent::SearcherEjected:
     return "SearcherEjected";
   case LogEvent::SearcherRestored:
--- a/Source/Common/LogEvent.h
+++ b/Source/Common/LogEvent.h
@@ -30,6 +30,7 @@
   PeerLost = 302,
   PeerRestarted = 303,
   VmListUnavailable = 304,
+  VmIdDuplicate = 305,
 
   SearcherEjected = 400,
   SearcherRestored = 401,
--- a/Source/Membership/FleetEventKind.h
+++ b/Source/Membership/FleetEventKind.h
@@ -12,6 +12,8 @@
   Leaving,
   Lost,
   Restarted,
+  /// Another live VM has the same id.
+  DuplicateId,
 };
 
 } // namespace acaciacross::membership
--- a/Source/Membership/FleetTable.cpp
+++ b/Source/Membership/FleetTable.cpp
@@ -9,6 +9,8 @@
 
 // Messages are delayed by seconds at most, so few earlier runs matter.
 constexpr std::size_t MaxRetiredRuns = 4;
+// A fault that goes on through restarts need not be told more often.
+constexpr std::size_t MaxDuplicateRuns = 16;
 
 FleetEvent eventOf(FleetEventKind Kind, const MemberStatus &Status) {
   return FleetEvent{Kind, Status.Vm, Status.Run};
@@ -23,7 +25,7 @@
                                              const common::Address &From,
                                              common::MonotonicTime SentAt) {
   if (Status.Vm == this->Self)
-    return {};
+    return this->noteDuplicate(Status);
   const auto Found = this->Records.find(Status.Vm);
   if (Found == this->Records.end())
     return this->insert(Status, From, SentAt);
@@ -40,6 +42,7 @@
   Record.Peers = From;
   Record.EvidenceAt = SentAt;
   Record.QuietSince = SentAt;
+  Record.RunSince = SentAt;
   std::vector<FleetEvent> Events = this->takeAddress(Status.Vm, From);
   this->Records.emplace(Status.Vm, std::move(Record));
   Events.push_back(eventOf(FleetEventKind::Joined, Status));
@@ -58,8 +61,12 @@
                                             const common::Address &From,
                                             common::MonotonicTime SentAt) {
   const bool IsSameRun = Record.Status.Run == Status.Run;
-  if (!IsSameRun && std::ranges::count(Record.Retired, Status.Run) > 0)
+  if (!IsSameRun && std::ranges::count(Record.Retired, Status.Run) > 0) {
+    // A run that still answers this long after its replacement did is alive.
+    if (SentAt - Record.RunSince >= LossLimit)
+      return this->noteDuplicate(Status);
     return {};
+  }
   const bool WasLeaving =
       IsSameRun && Record.Status.State == ServingState::Leaving;
   const bool IsLeaving = Status.State == ServingState::Leaving;
@@ -74,6 +81,7 @@
     Events = this->takeAddress(Status.Vm, From);
   if (!IsSameRun) {
     this->restart(Record, Status);
+    Record.RunSince = SentAt;
     Events.push_back(eventOf(FleetEventKind::Restarted, Status));
   } else if (Record.Lost) {
     Events.push_back(eventOf(FleetEventKind::Joined, Status));
@@ -102,6 +110,13 @@
   Record.Status = Status;
 }
 
+std::vector<FleetEvent> FleetTable::noteDuplicate(const MemberStatus &Status) {
+  if (this->Duplicates.size() >= MaxDuplicateRuns ||
+      !this->Duplicates.insert(Status.Run).second)
+    return {};
+  return {eventOf(FleetEventKind::DuplicateId, Status)};
+}
+
 std::vector<FleetEvent> FleetTable::applyUpdate(const MemberUpdate &Update) {
   if (Update.State != ServingState::Leaving)
     return {};
--- a/Source/Membership/FleetTable.h
+++ b/Source/Membership/FleetTable.h
@@ -9,6 +9,7 @@
 
 #include <cstddef>
 #include <map>
+#include <set>
 #include <vector>
 
 namespace acaciacross::membership {
@@ -18,7 +19,8 @@
 public:
   explicit FleetTable(common::VmId OwnId, std::size_t MaxRecords = MaxPeers);
 
-  /// Takes an acknowledgement of a probe that this VM sent at SentAt.
+  /// Takes an acknowledgement of a probe that this VM sent at SentAt, not one
+  /// of this VM itself.
   std::vector<FleetEvent> applyAck(const MemberStatus &Status,
                                    const common::Address &From,
                                    common::MonotonicTime SentAt);
@@ -57,6 +59,8 @@
                                   const common::Address &From,
                                   common::MonotonicTime SentAt);
   void restart(PeerRecord &Record, const MemberStatus &Status);
+  /// One event for each run that shares its id with another live VM.
+  std::vector<FleetEvent> noteDuplicate(const MemberStatus &Status);
   std::vector<FleetEvent> takeAddress(const common::VmId &Vm,
                                       const common::Address &From);
   void erase(const common::VmId &Vm);
@@ -67,6 +71,7 @@
   std::map<common::VmId, PeerRecord> Records;
   /// The peer that answered last at each address.
   std::map<common::Address, common::VmId> ByAddress;
+  std::set<common::Incarnation> Duplicates;
 };
 
 } // namespace acaciacross::membership
--- a/Source/Membership/PeerRecord.h
+++ b/Source/Membership/PeerRecord.h
@@ -20,6 +20,8 @@
   bool Confirmed = true;
   /// The loss limit counts from here: the evidence, or the end of a pause.
   common::MonotonicTime QuietSince;
+  /// When the first acknowledged probe of this run was sent.
+  common::MonotonicTime RunSince;
   /// When the first probe since the last acknowledgement was sent.
   std::optional<common::MonotonicTime> UnansweredSince;
   /// How many were sent since then.
--- a/Source/Peering/FleetAudit.cpp
+++ b/Source/Peering/FleetAudit.cpp
@@ -19,6 +19,8 @@
     return LogEvent::PeerLost;
   case FleetEventKind::Restarted:
     return LogEvent::PeerRestarted;
+  case FleetEventKind::DuplicateId:
+    return LogEvent::VmIdDuplicate;
   }
   return LogEvent::PeerLost;
 }
@@ -33,6 +35,8 @@
     return "lost";
   case FleetEventKind::Restarted:
     return "restarted";
+  case FleetEventKind::DuplicateId:
+    return "another live VM has this id";
   }
   return "";
 }
@@ -44,10 +48,16 @@
 void FleetAudit::record(const membership::FleetEvent &Event,
                         const std::string &Cause) {
   this->State.note(Cause, Event.Vm.Value, textOf(Event.Kind));
-  common::logEvent(logEventOf(Event.Kind),
-                   "vm=" + Event.Vm.Value +
-                       " incarnation=" + std::to_string(Event.Run.Value) +
-                       " cause=\"" + Cause + "\"");
+  const std::string Details =
+      "vm=" + Event.Vm.Value +
+      " incarnation=" + std::to_string(Event.Run.Value) + " cause=\"" + Cause +
+      "\"";
+  const bool IsWarning = Event.Kind == FleetEventKind::Lost ||
+                         Event.Kind == FleetEventKind::DuplicateId;
+  if (IsWarning)
+    common::logWarning(logEventOf(Event.Kind), Details);
+  else
+    common::logEvent(logEventOf(Event.Kind), Details);
 }
 
 } // namespace acaciacross::peering
--- a/Source/Peering/FleetMember.cpp
+++ b/Source/Peering/FleetMember.cpp
@@ -103,6 +103,12 @@
   return Status;
 }
 
+// The VM list names this VM too. Another process with the id of this VM is
+// answered like any peer, so that both see that the id is in use twice.
+bool FleetMember::isOwn(const membership::MemberStatus &Sender) const {
+  return Sender.Vm == this->State.settings().Vm && Sender.Run == this->Run;
+}
+
 void FleetMember::prepareRound() {
   this->Round.Drains =
       this->Drains.take(this->State.drainNotices(MaxSpreadNotices));
@@ -118,7 +124,7 @@
     return;
   }
   const membership::MemberStatus &Sender = Message.Content.Sender;
-  if (Sender.Vm == this->State.settings().Vm)
+  if (this->isOwn(Sender))
     return;
   // The state may have become "leaving" since the round began, and no
   // acknowledgement after that may say "serving".
@@ -137,9 +143,9 @@
     return;
   }
   const auto SentAt = this->Probes.matchAck(Message.Sequence, From, Now);
-  if (!SentAt)
-    return;
   const membership::MemberStatus &Sender = Message.Content.Sender;
+  if (!SentAt || this->isOwn(Sender))
+    return;
   this->Reads.notePeer(Sender.ServiceAnswerAge, *SentAt);
   this->record(this->Fleet.applyAck(Sender, From, *SentAt),
                "peer " + Sender.Vm.Value);
@@ -168,7 +174,8 @@
     this->Audit.record(Event, Cause);
     const membership::PeerRecord *Peer = this->Fleet.find(Event.Vm);
     // A loss is not spread: it is this VM's own view, and peers have theirs.
-    if (Peer != nullptr && Event.Kind != membership::FleetEventKind::Lost)
+    if (Peer != nullptr && Event.Kind != membership::FleetEventKind::Lost &&
+        Event.Kind != membership::FleetEventKind::DuplicateId)
       this->Updates.add(
           {Peer->Status.Vm, Peer->Status.Run, Peer->Status.State, Peer->Peers});
   }
--- a/Source/Peering/FleetMember.h
+++ b/Source/Peering/FleetMember.h
@@ -48,6 +48,7 @@
   void endPause(std::chrono::milliseconds Length);
   void mentionListedVms(common::MonotonicTime Now);
   membership::MemberStatus ownStatus() const;
+  bool isOwn(const membership::MemberStatus &Sender) const;
   void prepareRound();
   void applyContent(const common::Address &From,
                     const membership::Heartbeat &Content);
--- a/Source/UnitTests/Membership/FleetScenarioTest.cpp
+++ b/Source/UnitTests/Membership/FleetScenarioTest.cpp
@@ -69,6 +69,23 @@
   EXPECT_FALSE(this->Observer.isNamed("peer"));
 }
 
+// Two VMs set up with one id would otherwise look like a VM that restarted.
+TEST_F(FleetScenarioTest, TwoLiveVmsWithOneIdAreToldOnce) {
+  this->Observer.runFor(milliseconds(1000));
+  this->Observer.setRemote({"10.0.0.3", 1}, status(3));
+  this->Observer.runFor(milliseconds(10'000));
+  EXPECT_EQ(this->Observer.count(FleetEventKind::DuplicateId), 1U);
+  EXPECT_EQ(this->Observer.count(FleetEventKind::Restarted), 1U);
+  EXPECT_TRUE(this->Observer.isNamed("peer"));
+}
+
+TEST_F(FleetScenarioTest, RestartIsNoDuplicate) {
+  this->Observer.runFor(milliseconds(1000));
+  this->Observer.setRemote(this->At, status(3));
+  this->Observer.runFor(milliseconds(10'000));
+  EXPECT_EQ(this->Observer.count(FleetEventKind::DuplicateId), 0U);
+}
+
 TEST_F(FleetScenarioTest, AckOfRetiredRunThatWasOvertakenChangesNothing) {
   this->Observer.runFor(milliseconds(1000));
   this->Observer.setRemote(this->At, status(3));
--- a/Source/UnitTests/Peering/FleetMemberTest.cpp
+++ b/Source/UnitTests/Peering/FleetMemberTest.cpp
@@ -152,6 +152,19 @@
   }));
 }
 
+// Both must tell it, as an operator may look at either, and both go on.
+TEST_F(FleetMemberTest, VmsWithTheSameIdSeeEachOtherAndStay) {
+  this->Third.reset();
+  this->Second.reset();
+  this->Second = std::make_unique<FleetNode>(
+      "entry-0", this->Addresses[1], std::vector{this->Addresses[0]}, 7);
+  const std::string Text = "another live VM has this id";
+  EXPECT_TRUE(this->First->waitForAudit("entry-0", Text));
+  EXPECT_TRUE(this->Second->waitForAudit("entry-0", Text));
+  publish(*this->First, 5);
+  EXPECT_TRUE(hasRevision(*this->Second, 6));
+}
+
 TEST_F(FleetMemberTest, TwoOfThreeVmsOfAFailureDomainBecomeReaders) {
   publish(*this->First, 5);
   ASSERT_TRUE(this->First->waitForEntryVms(3));
