Traffic: hold a closed connection's place a little beyond its end

Change: the place is kept for 20 ms after the searcher's end (at most 1 s in all); an ended socket is no longer watched, as it would end every wait at once. PagePollTest expected room at the very end of the attempt that had ended a poll; it now waits for the room, within 5 s, because the poll's connection counts until its end.

--- a/Source/Traffic/ClosingSocket.h
+++ b/Source/Traffic/ClosingSocket.h
@@ -6,12 +6,13 @@
 
 namespace acaciacross::traffic {
 
-/// A socket that this VM has shut down for sending and whose end the searcher
-/// has not confirmed.
+/// A socket that this VM has shut down for sending.
 struct ClosingSocket {
   int Socket = -1;
   common::Address Endpoint;
-  common::MonotonicTime GiveUpAt;
+  /// The searcher has ended its side, too.
+  bool HasPeerEnded = false;
+  common::MonotonicTime ReleaseAt;
 };
 
 } // namespace acaciacross::traffic
--- a/Source/Traffic/ClosingSockets.cpp
+++ b/Source/Traffic/ClosingSockets.cpp
@@ -15,6 +15,11 @@
 // must not hold the place of a connection for ever.
 constexpr std::chrono::seconds LongestWait{1};
 
+// Servers commonly end their side of a connection before they take it off their
+// count: libmicrohttpd 0.9.75 does, and a searcher with a cap of 12 refused the
+// connection that came right after.
+constexpr std::chrono::milliseconds GraceAfterEnd{20};
+
 // What is left of a reply that nobody wants is read to find the end behind it.
 constexpr int MaxReads = 64;
 
@@ -39,30 +44,29 @@
     ::close(Each.Socket);
 }
 
-bool ClosingSockets::add(int Socket, const common::Address &Endpoint) {
+void ClosingSockets::add(int Socket, const common::Address &Endpoint) {
   ::shutdown(Socket, SHUT_WR);
-  if (hasPeerEnded(Socket)) {
-    ::close(Socket);
-    return false;
-  }
   this->Sockets.push_back(
-      {Socket, Endpoint, this->Time.monotonicNow() + LongestWait});
-  return true;
+      {Socket, Endpoint, false, this->Time.monotonicNow() + LongestWait});
 }
 
-std::vector<common::Address> ClosingSockets::takeEnded() {
-  std::vector<common::Address> Ended;
+std::vector<common::Address> ClosingSockets::takeReleased() {
+  std::vector<common::Address> Released;
   if (this->Sockets.empty())
-    return Ended;
+    return Released;
   const common::MonotonicTime Now = this->Time.monotonicNow();
-  std::erase_if(this->Sockets, [&](const ClosingSocket &Each) {
-    if (Now < Each.GiveUpAt && !hasPeerEnded(Each.Socket))
+  std::erase_if(this->Sockets, [&](ClosingSocket &Each) {
+    if (!Each.HasPeerEnded && hasPeerEnded(Each.Socket)) {
+      Each.HasPeerEnded = true;
+      Each.ReleaseAt = std::min(Each.ReleaseAt, Now + GraceAfterEnd);
+    }
+    if (Now < Each.ReleaseAt)
       return false;
     ::close(Each.Socket);
-    Ended.push_back(Each.Endpoint);
+    Released.push_back(Each.Endpoint);
     return true;
   });
-  return Ended;
+  return Released;
 }
 
 std::size_t ClosingSockets::countAt(const common::Address &Endpoint) const {
@@ -71,19 +75,21 @@
       [&](const ClosingSocket &Each) { return Each.Endpoint == Endpoint; }));
 }
 
+// An ended socket stays readable and would end every wait at once.
 std::vector<curl_waitfd> ClosingSockets::watched() const {
   std::vector<curl_waitfd> Watched;
   Watched.reserve(this->Sockets.size());
   for (const ClosingSocket &Each : this->Sockets)
-    Watched.push_back({Each.Socket, CURL_WAIT_POLLIN, 0});
+    if (!Each.HasPeerEnded)
+      Watched.push_back({Each.Socket, CURL_WAIT_POLLIN, 0});
   return Watched;
 }
 
-std::optional<common::MonotonicTime> ClosingSockets::nextGiveUp() const {
-  // Sockets are added in the order of their limits.
-  if (this->Sockets.empty())
-    return std::nullopt;
-  return this->Sockets.front().GiveUpAt;
+std::optional<common::MonotonicTime> ClosingSockets::nextRelease() const {
+  std::optional<common::MonotonicTime> Next;
+  for (const ClosingSocket &Each : this->Sockets)
+    Next = std::min(Next.value_or(Each.ReleaseAt), Each.ReleaseAt);
+  return Next;
 }
 
 } // namespace acaciacross::traffic
--- a/Source/Traffic/ClosingSockets.h
+++ b/Source/Traffic/ClosingSockets.h
@@ -22,19 +22,18 @@
   ClosingSockets(const ClosingSockets &) = delete;
   ClosingSockets &operator=(const ClosingSockets &) = delete;
 
-  /// Takes the socket over. False when the searcher has already ended the
-  /// connection, so that nothing is left to wait for.
-  bool add(int Socket, const common::Address &Endpoint);
+  /// Takes the socket over.
+  void add(int Socket, const common::Address &Endpoint);
 
-  /// Closes what the searcher has ended or what has waited too long; gives
-  /// their endpoints.
-  std::vector<common::Address> takeEnded();
+  /// Closes what no longer counts at the searcher, or has waited too long;
+  /// gives the endpoints.
+  std::vector<common::Address> takeReleased();
 
   std::size_t countAt(const common::Address &Endpoint) const;
 
   /// To be watched for input.
   std::vector<curl_waitfd> watched() const;
-  std::optional<common::MonotonicTime> nextGiveUp() const;
+  std::optional<common::MonotonicTime> nextRelease() const;
 
 private:
   const common::Clock &Time;
--- a/Source/Traffic/CurlAttemptPort.cpp
+++ b/Source/Traffic/CurlAttemptPort.cpp
@@ -175,7 +175,7 @@
 }
 
 void CurlAttemptPort::endClosing() {
-  for (const common::Address &Endpoint : this->Closing.takeEnded())
+  for (const common::Address &Endpoint : this->Closing.takeReleased())
     this->onClosing(Endpoint);
 }
 
@@ -200,9 +200,9 @@
 void CurlAttemptPort::wait(std::chrono::milliseconds Limit) {
   if (!this->EndedAtStart.empty())
     Limit = std::chrono::milliseconds::zero();
-  if (const auto GiveUpAt = this->Closing.nextGiveUp())
+  if (const auto ReleaseAt = this->Closing.nextRelease())
     Limit = std::clamp(std::chrono::ceil<std::chrono::milliseconds>(
-                           *GiveUpAt - this->Ticker.monotonicNow()),
+                           *ReleaseAt - this->Ticker.monotonicNow()),
                        std::chrono::milliseconds::zero(), Limit);
   std::vector<curl_waitfd> Watched = this->Closing.watched();
   ::curl_multi_poll(this->Multi, Watched.data(),
--- a/Source/Traffic/UpstreamSockets.cpp
+++ b/Source/Traffic/UpstreamSockets.cpp
@@ -91,8 +91,8 @@
   // Sockets that are shut down are not counted any more.
   if (!Closed.IsShutDown && --Count->second == 0)
     Table.OpenAt.erase(Count);
-  if (Table.Closing.add(Socket, Closed.Endpoint))
-    Table.Sink.onClosing(Closed.Endpoint);
+  Table.Closing.add(Socket, Closed.Endpoint);
+  Table.Sink.onClosing(Closed.Endpoint);
   return 0;
 }
 
--- a/Source/UnitTests/Traffic/PagePollTest.cpp
+++ b/Source/UnitTests/Traffic/PagePollTest.cpp
@@ -146,6 +146,13 @@
     Ended = this->Port.perform();
   }
   EXPECT_EQ(Ended[0].Result.Status, query::AttemptStatus::Shed);
+  // The poll's connection still counts until the upstream has seen its end.
+  const auto Limit = this->Time.monotonicNow() + milliseconds(5000);
+  while (!this->Port.hasRoom(common::SearcherIndex(0)) &&
+         this->Time.monotonicNow() < Limit) {
+    this->Port.perform();
+    this->Port.wait(milliseconds(10));
+  }
   EXPECT_TRUE(this->Port.hasRoom(common::SearcherIndex(0)));
 }
 
