Control: one place for the connection quota

Cause: limits::ConnectionQuota was used by its tests only, while ServiceViewBuilder divided the cap itself.

--- a/Source/Control/ServiceViewBuilder.cpp
+++ b/Source/Control/ServiceViewBuilder.cpp
@@ -1,5 +1,7 @@
 #include "Control/ServiceViewBuilder.h"
 
+#include "Limits/ConnectionQuota.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -80,12 +82,12 @@
   // Each service has a traffic thread of its own that knows nothing of the
   // connections of the others, so services at one address divide its cap.
   const auto Position = this->Sharers.find(Searcher.Endpoint);
-  const std::uint64_t Holders =
-      std::uint64_t{this->MaxEntryVms} *
-      (Position == this->Sharers.end() ? 1 : Position->second);
-  if (Holders == 0)
+  const std::uint32_t Services =
+      Position == this->Sharers.end() ? 1 : Position->second;
+  if (this->MaxEntryVms == 0)
     return 0;
-  return static_cast<std::uint32_t>(Searcher.MaxConnections / Holders);
+  return limits::ConnectionQuota(this->MaxEntryVms)
+      .perVm(Searcher.MaxConnections, Services);
 }
 
 query::SearcherView ServiceViewBuilder::viewOf(
--- a/Source/Limits/ConnectionQuota.cpp
+++ b/Source/Limits/ConnectionQuota.cpp
@@ -14,8 +14,10 @@
 // The divisor is the published maximum, not the number of VMs seen alive: VMs
 // on the two sides of a network partition see different fleets, and quotas
 // derived from these would add up to more than the cap.
-std::uint32_t ConnectionQuota::perVm(std::uint32_t MaxConnections) const {
-  return MaxConnections / this->MaxEntryVms;
+std::uint32_t ConnectionQuota::perVm(std::uint32_t MaxConnections,
+                                     std::uint32_t Services) const {
+  const std::uint64_t Holders = std::uint64_t{this->MaxEntryVms} * Services;
+  return static_cast<std::uint32_t>(MaxConnections / Holders);
 }
 
 } // namespace acaciacross::limits
--- a/Source/Limits/ConnectionQuota.h
+++ b/Source/Limits/ConnectionQuota.h
@@ -12,7 +12,10 @@
   explicit ConnectionQuota(std::uint32_t MaxEntryVms);
 
   /// Rounded down; 0 means that this VM may not connect to the searcher.
-  std::uint32_t perVm(std::uint32_t MaxConnections) const;
+  /// Services: how many services share the searcher's address, at least 1; each
+  /// gets the same part.
+  std::uint32_t perVm(std::uint32_t MaxConnections,
+                      std::uint32_t Services) const;
 
 private:
   std::uint32_t MaxEntryVms;
