--- a/Source/Query/QueryExecution.cpp
+++ b/Source/Query/QueryExecution.cpp
@@ -1,6 +1,7 @@
 #include "Query/QueryExecution.h"
 
 #include "Query/OutcomeDecision.h"
+#include "Query/ReplyCheck.h"
 #include "Query/SnapshotSelector.h"
 
 #include <algorithm>
@@ -51,8 +52,10 @@
   const RunningAttempt Attempt = this->Attempts.end(
       *this->Service, this->Shards[Shard], Result.Attempt, Result.Status);
 
-  if (Result.Status == AttemptStatus::Answered &&
-      this->isValidReply(Shard, Attempt, Result))
+  const ReplyCheck Check{Attempt.Id, this->snapshot().Id,
+                         this->snapshot().Shards[Shard]};
+  if (Result.Status == AttemptStatus::Answered && Result.Reply &&
+      Check.accepts(*Result.Reply))
     this->acceptReply(Shard, Attempt, Result);
   else
     this->handleLoss(Shard, Attempt, Result.Status, Now);
@@ -226,18 +229,6 @@
     this->MayHaveRun = true;
 }
 
-bool QueryExecution::isValidReply(std::size_t Shard,
-                                  const RunningAttempt &Attempt,
-                                  const AttemptResult &Result) const {
-  if (!Result.Reply)
-    return false;
-  const ShardView &Wanted = this->snapshot().Shards[Shard];
-  return Result.Reply->Attempt == Attempt.Id &&
-         Result.Reply->Snapshot == this->snapshot().Id &&
-         Result.Reply->Shard == Wanted.Id &&
-         Result.Reply->Range == Wanted.Range;
-}
-
 void QueryExecution::acceptReply(std::size_t Shard,
                                  const RunningAttempt &Attempt,
                                  const AttemptResult &Result) {
--- a/Source/Query/QueryExecution.h
+++ b/Source/Query/QueryExecution.h
@@ -65,8 +65,6 @@
   void tryHedge(std::size_t Shard, common::MonotonicTime Now);
   void cancelRunning(ShardProgress &Progress);
 
-  bool isValidReply(std::size_t Shard, const RunningAttempt &Attempt,
-                    const AttemptResult &Result) const;
   void acceptReply(std::size_t Shard, const RunningAttempt &Attempt,
                    const AttemptResult &Result);
   void handleLoss(std::size_t Shard, const RunningAttempt &Attempt,
--- a/Source/UnitTests/Traffic/ServiceEngineTest.cpp
+++ b/Source/UnitTests/Traffic/ServiceEngineTest.cpp
@@ -1,8 +1,8 @@
 #include "Traffic/ServiceEngine.h"
 
-#include "ManualPort.h"
 #include "ReplyRecord.h"
 #include "TestSupport/ManualClock.h"
+#include "TestSupport/ScriptedPort.h"
 #include "ViewBuilder.h"
 
 #include <gtest/gtest.h>
@@ -64,7 +64,7 @@
   }
 
   testsupport::ManualClock Time;
-  ManualPort Port;
+  testsupport::ScriptedPort Port;
   std::shared_ptr<control::ControlView> View = makeView({"127.0.0.1", 1});
   ServiceEngine Engine{makeSettings(), this->Port, this->Time};
 };
