--- a/Source/Common/LogEvent.cpp
+++ b/Source/Common/LogEvent.cpp
@@ -13,12 +13,17 @@
     LogEvent::PauseDetected,
     LogEvent::SettingsRefused,
     LogEvent::ControlTaskFailed,
+    LogEvent::SettingsReloaded,
+    LogEvent::LogLinesDropped,
     LogEvent::ConfigurationAccepted,
     LogEvent::ConfigurationRefused,
     LogEvent::ConfigurationServiceUnavailable,
     LogEvent::ConfigurationServiceStale,
     LogEvent::ConfigurationPulled,
     LogEvent::ReaderChanged,
+    LogEvent::StoreUnavailable,
+    LogEvent::StoreAvailable,
+    LogEvent::HistoryLost,
     LogEvent::PeerJoined,
     LogEvent::PeerLeaving,
     LogEvent::PeerLost,
@@ -32,10 +37,18 @@
     LogEvent::EjectionSuppressed,
     LogEvent::ConnectionQuotaZero,
     LogEvent::SearcherReturned,
+    LogEvent::SearcherListed,
+    LogEvent::SearcherUnlisted,
+    LogEvent::EntryMalformed,
+    LogEvent::SearcherSuspected,
     LogEvent::RequestRefused,
     LogEvent::RequestFailed,
     LogEvent::ReplyDiscarded,
     LogEvent::SnapshotRestarted,
+    LogEvent::RequestAnswered,
+    LogEvent::RequestPartial,
+    LogEvent::RequestAbandoned,
+    LogEvent::AttemptEnded,
     LogEvent::MessageDropped,
 };
 
@@ -55,6 +68,10 @@
     return "SettingsRefused";
   case LogEvent::ControlTaskFailed:
     return "ControlTaskFailed";
+  case LogEvent::SettingsReloaded:
+    return "SettingsReloaded";
+  case LogEvent::LogLinesDropped:
+    return "LogLinesDropped";
   case LogEvent::ConfigurationAccepted:
     return "ConfigurationAccepted";
   case LogEvent::ConfigurationRefused:
@@ -67,6 +84,12 @@
     return "ConfigurationPulled";
   case LogEvent::ReaderChanged:
     return "ReaderChanged";
+  case LogEvent::StoreUnavailable:
+    return "StoreUnavailable";
+  case LogEvent::StoreAvailable:
+    return "StoreAvailable";
+  case LogEvent::HistoryLost:
+    return "HistoryLost";
   case LogEvent::PeerJoined:
     return "PeerJoined";
   case LogEvent::PeerLeaving:
@@ -93,6 +116,14 @@
     return "ConnectionQuotaZero";
   case LogEvent::SearcherReturned:
     return "SearcherReturned";
+  case LogEvent::SearcherListed:
+    return "SearcherListed";
+  case LogEvent::SearcherUnlisted:
+    return "SearcherUnlisted";
+  case LogEvent::EntryMalformed:
+    return "EntryMalformed";
+  case LogEvent::SearcherSuspected:
+    return "SearcherSuspected";
   case LogEvent::RequestRefused:
     return "RequestRefused";
   case LogEvent::RequestFailed:
@@ -101,6 +132,14 @@
     return "ReplyDiscarded";
   case LogEvent::SnapshotRestarted:
     return "SnapshotRestarted";
+  case LogEvent::RequestAnswered:
+    return "RequestAnswered";
+  case LogEvent::RequestPartial:
+    return "RequestPartial";
+  case LogEvent::RequestAbandoned:
+    return "RequestAbandoned";
+  case LogEvent::AttemptEnded:
+    return "AttemptEnded";
   case LogEvent::MessageDropped:
     return "MessageDropped";
   }
--- a/Source/Common/LogEvent.h
+++ b/Source/Common/LogEvent.h
@@ -17,6 +17,8 @@
   PauseDetected = 103,
   SettingsRefused = 104,
   ControlTaskFailed = 105,
+  SettingsReloaded = 106,
+  LogLinesDropped = 107,
 
   ConfigurationAccepted = 200,
   ConfigurationRefused = 201,
@@ -24,6 +26,9 @@
   ConfigurationServiceStale = 203,
   ConfigurationPulled = 204,
   ReaderChanged = 205,
+  StoreUnavailable = 206,
+  StoreAvailable = 207,
+  HistoryLost = 208,
 
   PeerJoined = 300,
   PeerLeaving = 301,
@@ -39,11 +44,19 @@
   EjectionSuppressed = 404,
   ConnectionQuotaZero = 405,
   SearcherReturned = 406,
+  SearcherListed = 407,
+  SearcherUnlisted = 408,
+  EntryMalformed = 409,
+  SearcherSuspected = 410,
 
   RequestRefused = 500,
   RequestFailed = 501,
   ReplyDiscarded = 502,
   SnapshotRestarted = 503,
+  RequestAnswered = 504,
+  RequestPartial = 505,
+  RequestAbandoned = 506,
+  AttemptEnded = 507,
 
   MessageDropped = 600,
 };
--- /dev/null
+++ b/Source/Discovery/PublishedState.cpp
@@ -0,0 +1,173 @@
+#include "Discovery/PublishedState.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace acaciacross::discovery {
+
+namespace {
+
+// A searcher that lives registers again within 2 s of the store's return, and
+// its entry takes a moment to arrive here.
+constexpr std::chrono::milliseconds ReturnTime{2'200};
+
+} // namespace
+
+PublishedState::PublishedState(const ItemDecoder &Decoding,
+                               const common::Clock &TimeSource,
+                               logging::EventLog &Journal)
+    : Decoder(Decoding), Time(TimeSource), Log(Journal) {}
+
+void PublishedState::onSnapshot(std::vector<StoreItem> Items,
+                                std::uint64_t Revision) {
+  std::set<std::string> Present;
+  for (const StoreItem &Each : Items) {
+    Present.insert(Each.Key);
+    this->apply(Each);
+  }
+  std::vector<std::string> Missing;
+  for (const auto &[Key, Known] : this->Entries)
+    if (!Present.contains(Key) && Known.Revision <= Revision)
+      Missing.push_back(Key);
+  for (const std::string &Key : Missing)
+    this->remove(Key);
+  this->Complete = true;
+}
+
+void PublishedState::onChanges(std::vector<StoreChange> Batch, std::uint64_t) {
+  for (const StoreChange &Each : Batch) {
+    if (Each.IsRemoval)
+      this->remove(Each.Item.Key);
+    else
+      this->apply(Each.Item);
+  }
+}
+
+void PublishedState::onUnavailable(const std::string &Problem) {
+  this->AwaySince = this->Time.monotonicNow();
+  this->Log.write(logging::LogRecord(common::LogEvent::StoreUnavailable)
+                      .text("reason", Problem)
+                      .number("searchers",
+                              static_cast<std::int64_t>(this->Entries.size())));
+}
+
+void PublishedState::onAvailable() {
+  const common::MonotonicTime Now = this->Time.monotonicNow();
+  this->HoldUntil = Now + ReturnTime;
+  this->Log.write(
+      logging::LogRecord(common::LogEvent::StoreAvailable)
+          .milliseconds("away_ms", Now - this->AwaySince.value_or(Now)));
+  this->AwaySince.reset();
+}
+
+void PublishedState::onHistoryLost() {
+  this->Log.write(logging::LogRecord(common::LogEvent::HistoryLost));
+}
+
+void PublishedState::expire() {
+  const common::MonotonicTime Now = this->Time.monotonicNow();
+  std::vector<std::string> Over;
+  for (const auto &[Key, Known] : this->Entries)
+    if (Known.HeldUntil && *Known.HeldUntil <= Now)
+      Over.push_back(Key);
+  for (const std::string &Key : Over)
+    this->drop(Key, "did not return after an outage of the store");
+}
+
+std::vector<forwarding::SearcherEntry> PublishedState::searchers() const {
+  std::vector<forwarding::SearcherEntry> All;
+  All.reserve(this->Entries.size());
+  for (const auto &[Key, Known] : this->Entries)
+    All.push_back(Known.Entry);
+  return All;
+}
+
+const std::shared_ptr<const forwarding::RoutingTable> &
+PublishedState::table() const {
+  return this->Table;
+}
+
+std::uint64_t PublishedState::changes() const { return this->Changes; }
+
+bool PublishedState::hasSnapshot() const { return this->Complete; }
+
+void PublishedState::apply(const StoreItem &Item) {
+  PublishedItem Said = this->Decoder.decode(Item);
+  if (!Said.Problem.empty()) {
+    this->Log.write(
+        logging::LogRecord(common::LogEvent::EntryMalformed)
+            .text("key", Item.Key)
+            .number("revision", static_cast<std::int64_t>(Item.Revision))
+            .text("reason", Said.Problem));
+    this->drop(Item.Key, "its entry is malformed");
+    return;
+  }
+  if (Said.Searcher)
+    this->takeSearcher(Item, std::move(*Said.Searcher));
+  if (Said.Table != nullptr)
+    this->takeTable(std::move(Said.Table));
+}
+
+void PublishedState::takeSearcher(const StoreItem &Item,
+                                  forwarding::SearcherEntry Entry) {
+  Listed &Known = this->Entries[Item.Key];
+  if (Known.Revision > Item.Revision)
+    return;
+  Known.Revision = Item.Revision;
+  Known.HeldUntil.reset();
+  if (Known.Entry == Entry)
+    return;
+  Known.Entry = std::move(Entry);
+  ++this->Changes;
+  this->Log.write(
+      logging::LogRecord(common::LogEvent::SearcherListed)
+          .text("searcher", Known.Entry.Id.Value)
+          .text("service", Known.Entry.Service.Value)
+          .text("address", Known.Entry.Where.toString())
+          .flag("draining", Known.Entry.IsDraining)
+          .number("revision", static_cast<std::int64_t>(Item.Revision)));
+}
+
+// Versions never go back, whatever the store or a late answer says.
+void PublishedState::takeTable(
+    std::shared_ptr<const forwarding::RoutingTable> Newer) {
+  if (this->Table != nullptr && Newer->version() <= this->Table->version())
+    return;
+  this->Table = std::move(Newer);
+  ++this->Changes;
+  this->Log.write(
+      logging::LogRecord(common::LogEvent::ConfigurationAccepted)
+          .number("version", static_cast<std::int64_t>(this->Table->version()))
+          .number("routes",
+                  static_cast<std::int64_t>(this->Table->routes().size())));
+}
+
+// A searcher that said it leaves does not come back under its entry.
+void PublishedState::remove(const std::string &Key) {
+  const auto Found = this->Entries.find(Key);
+  if (Found == this->Entries.end())
+    return;
+  Listed &Known = Found->second;
+  const bool MayReturn =
+      this->Time.monotonicNow() < this->HoldUntil && !Known.Entry.IsDraining;
+  if (!MayReturn) {
+    this->drop(Key, "its entry was removed");
+    return;
+  }
+  if (!Known.HeldUntil)
+    Known.HeldUntil = this->HoldUntil;
+}
+
+void PublishedState::drop(const std::string &Key, const char *Reason) {
+  const auto Found = this->Entries.find(Key);
+  if (Found == this->Entries.end())
+    return;
+  this->Log.write(logging::LogRecord(common::LogEvent::SearcherUnlisted)
+                      .text("searcher", Found->second.Entry.Id.Value)
+                      .text("service", Found->second.Entry.Service.Value)
+                      .text("reason", Reason));
+  this->Entries.erase(Found);
+  ++this->Changes;
+}
+
+} // namespace acaciacross::discovery
--- /dev/null
+++ b/Source/Discovery/StoreFollower.cpp
@@ -0,0 +1,88 @@
+#include "Discovery/StoreFollower.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace acaciacross::discovery {
+
+namespace {
+
+// One waiting call costs as much as a short one; the store allows 30 s.
+constexpr std::chrono::milliseconds WatchTime{20'000};
+// Changes that follow each other within this time come in one answer. It adds
+// to the age of what is known, of which seconds are allowed.
+constexpr std::chrono::milliseconds GatherTime{350};
+constexpr std::chrono::milliseconds FirstBackOff{100};
+constexpr std::chrono::milliseconds MaxBackOff{1'000};
+// A waiting call may be cut without harm to the store.
+constexpr unsigned FailuresUntilAway = 2;
+
+} // namespace
+
+StoreFollower::StoreFollower(StoreListener &Receiver,
+                             common::RandomSource &RandomNumbers)
+    : Listener(Receiver), Random(RandomNumbers) {}
+
+std::chrono::milliseconds StoreFollower::step(StoreReader &Store) {
+  return this->Known ? this->watch(Store) : this->readAll(Store);
+}
+
+// Pages are no snapshot, so changes are taken from the revision of the first
+// page on; a change that a later page already shows is applied twice.
+std::chrono::milliseconds StoreFollower::readAll(StoreReader &Store) {
+  std::vector<StoreItem> Items;
+  std::optional<std::uint64_t> Revision;
+  bool HasMore = true;
+  while (HasMore) {
+    StorePage Page = Store.readPage(Items.empty() ? "" : Items.back().Key);
+    if (Page.Status != StoreStatus::Answered)
+      return this->onFailure(Page.Problem);
+    if (!Revision)
+      Revision = Page.Revision;
+    HasMore = Page.HasMore && !Page.Items.empty();
+    std::move(Page.Items.begin(), Page.Items.end(), std::back_inserter(Items));
+  }
+  this->onSuccess();
+  this->Known = Revision;
+  this->Listener.onSnapshot(std::move(Items), *Revision);
+  return GatherTime;
+}
+
+std::chrono::milliseconds StoreFollower::watch(StoreReader &Store) {
+  StoreChanges Answer = Store.awaitChanges(*this->Known, WatchTime);
+  if (Answer.Status == StoreStatus::Unavailable)
+    return this->onFailure(Answer.Problem);
+  this->onSuccess();
+  if (Answer.Status == StoreStatus::HistoryLost) {
+    this->Known.reset();
+    this->Listener.onHistoryLost();
+    return std::chrono::milliseconds(0);
+  }
+  this->Known = std::max(*this->Known, Answer.Revision);
+  if (Answer.Changes.empty())
+    return std::chrono::milliseconds(0);
+  this->Listener.onChanges(std::move(Answer.Changes), *this->Known);
+  return GatherTime;
+}
+
+std::chrono::milliseconds StoreFollower::onFailure(const std::string &Problem) {
+  ++this->Failures;
+  if (this->Failures >= FailuresUntilAway && !this->IsAway) {
+    this->IsAway = true;
+    this->Listener.onUnavailable(Problem);
+  }
+  const auto Longest = std::min(
+      MaxBackOff, FirstBackOff * (1 << std::min(this->Failures - 1, 4U)));
+  // Spread, so that the VMs of a fleet do not call together.
+  const auto Half = static_cast<std::uint64_t>(Longest.count()) / 2;
+  return std::chrono::milliseconds(Half + this->Random.below(Half + 1));
+}
+
+void StoreFollower::onSuccess() {
+  this->Failures = 0;
+  if (std::exchange(this->IsAway, false))
+    this->Listener.onAvailable();
+}
+
+} // namespace acaciacross::discovery
--- /dev/null
+++ b/Source/Discovery/StoreListener.h
@@ -0,0 +1,32 @@
+#ifndef ACACIACROSS_DISCOVERY_STORELISTENER_H
+#define ACACIACROSS_DISCOVERY_STORELISTENER_H
+
+#include "Discovery/StoreChange.h"
+#include "Discovery/StoreItem.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace acaciacross::discovery {
+
+/// Receives what a follower of the store finds, in order.
+class StoreListener {
+public:
+  virtual ~StoreListener() = default;
+
+  /// Everything that is published.
+  virtual void onSnapshot(std::vector<StoreItem> Items,
+                          std::uint64_t Revision) = 0;
+  virtual void onChanges(std::vector<StoreChange> Changes,
+                         std::uint64_t Revision) = 0;
+  /// The store does not answer; told once until it does.
+  virtual void onUnavailable(const std::string &Problem) = 0;
+  virtual void onAvailable() = 0;
+  /// Everything has to be read again.
+  virtual void onHistoryLost() = 0;
+};
+
+} // namespace acaciacross::discovery
+
+#endif
--- /dev/null
+++ b/Source/Discovery/StoreStatus.h
@@ -0,0 +1,19 @@
+#ifndef ACACIACROSS_DISCOVERY_STORESTATUS_H
+#define ACACIACROSS_DISCOVERY_STORESTATUS_H
+
+#include <cstdint>
+
+namespace acaciacross::discovery {
+
+/// How a call to the store ended.
+enum class StoreStatus : std::uint8_t {
+  Answered,
+  /// The changes since the given revision are no longer kept.
+  HistoryLost,
+  /// No answer, or the store refused the call.
+  Unavailable,
+};
+
+} // namespace acaciacross::discovery
+
+#endif
--- /dev/null
+++ b/Source/Fleet/FleetAgent.cpp
@@ -0,0 +1,175 @@
+#include "Fleet/FleetAgent.h"
+
+#include "Common/Error.h"
+
+#include <ace/Reactor.h>
+
+#include <utility>
+
+namespace acaciacross::fleet {
+
+namespace {
+
+common::LogEvent eventOf(membership::FleetEventKind Kind) {
+  switch (Kind) {
+  case membership::FleetEventKind::Joined:
+    return common::LogEvent::PeerJoined;
+  case membership::FleetEventKind::Leaving:
+    return common::LogEvent::PeerLeaving;
+  case membership::FleetEventKind::Lost:
+    return common::LogEvent::PeerLost;
+  case membership::FleetEventKind::Restarted:
+    return common::LogEvent::PeerRestarted;
+  case membership::FleetEventKind::DuplicateId:
+    break;
+  }
+  return common::LogEvent::VmIdDuplicate;
+}
+
+} // namespace
+
+FleetAgent::FleetAgent(FleetAgentSettings Identity, ACE_Reactor &Events,
+                       const common::Clock &PauseTime,
+                       common::RandomSource &RandomNumbers,
+                       logging::EventLog &Journal, FleetViewListener &Receiver)
+    : ACE_Event_Handler(&Events), Settings(std::move(Identity)),
+      Time(PauseTime), Log(Journal), Listener(Receiver),
+      Fleet(this->Settings.Vm), Hints(this->Settings.Peers),
+      Socket(this->Settings.Peers, Events, *this, PauseTime),
+      Probes(this->Socket, RandomNumbers), Size(this->Settings.SizeWindow) {
+  this->addSeeds(this->Settings.Seeds);
+  this->prepareRound();
+  const ACE_Time_Value Period(membership::ProbePeriod);
+  if (Events.schedule_timer(this, nullptr, ACE_Time_Value::zero, Period) < 0)
+    throw common::Error(common::ResultCode::InternalError,
+                        "the probe timer could not be scheduled");
+}
+
+FleetAgent::~FleetAgent() { this->reactor()->cancel_timer(this); }
+
+void FleetAgent::setState(membership::ServingState Changed) {
+  this->State = Changed;
+  this->prepareRound();
+}
+
+void FleetAgent::addSeeds(const std::vector<common::Address> &Seeds) {
+  for (const common::Address &Seed : Seeds)
+    this->Hints.addSeed(Seed);
+}
+
+int FleetAgent::handle_timeout(const ACE_Time_Value &, const void *) {
+  const common::MonotonicTime Now = this->Time.monotonicNow();
+  if (const auto Length = this->Pauses.tick(Now, this->Time.wallNow()))
+    this->endPause(*Length);
+  this->Hints.expire(Now);
+  this->record(this->Fleet.expire(Now), "probes");
+  this->prepareRound();
+  this->Probes.tick(Now, this->Fleet, this->Hints, this->Round);
+  this->publish();
+  return 0;
+}
+
+void FleetAgent::onProbe(const common::Address &From,
+                         const peering::ProbeMessage &Message) {
+  if (const auto Length = this->Pauses.beforeMessage(this->Time.monotonicNow(),
+                                                     this->Time.wallNow())) {
+    this->endPause(*Length);
+    return;
+  }
+  if (this->isOwn(Message.Content.Sender))
+    return;
+  this->Round.Sender = this->ownStatus();
+  this->Socket.sendAck(From, Message.Sequence, this->Round);
+  this->Hints.mention(From, this->Time.monotonicNow());
+  this->applyContent(From, Message.Content);
+}
+
+void FleetAgent::onAck(const common::Address &From,
+                       const peering::ProbeAckMessage &Message) {
+  const common::MonotonicTime Now = this->Time.monotonicNow();
+  if (const auto Length =
+          this->Pauses.beforeMessage(Now, this->Time.wallNow())) {
+    this->endPause(*Length);
+    return;
+  }
+  const auto SentAt = this->Probes.matchAck(Message.Sequence, From, Now);
+  const membership::MemberStatus &Sender = Message.Content.Sender;
+  if (!SentAt || this->isOwn(Sender))
+    return;
+  this->record(this->Fleet.applyAck(Sender, From, *SentAt),
+               "acknowledgement of " + Sender.Vm.Value);
+  this->applyContent(From, Message.Content);
+}
+
+void FleetAgent::endPause(std::chrono::milliseconds Length) {
+  this->Probes.discardPending();
+  this->Socket.discardWaiting();
+  this->Fleet.discardEvidence(this->Time.monotonicNow());
+  this->Log.write(logging::LogRecord(common::LogEvent::PauseDetected)
+                      .milliseconds("paused_ms", Length));
+}
+
+bool FleetAgent::isOwn(const membership::MemberStatus &Sender) const {
+  return Sender.Vm == this->Settings.Vm && Sender.Run == this->Settings.Run;
+}
+
+membership::MemberStatus FleetAgent::ownStatus() const {
+  membership::MemberStatus Status;
+  Status.Vm = this->Settings.Vm;
+  Status.Run = this->Settings.Run;
+  Status.State = this->State;
+  Status.Callers = this->Settings.Callers;
+  Status.FailureDomain = this->Settings.FailureDomain;
+  return Status;
+}
+
+void FleetAgent::prepareRound() {
+  this->Round.Updates = this->Updates.take();
+  this->Round.Sender = this->ownStatus();
+}
+
+void FleetAgent::applyContent(const common::Address &From,
+                              const membership::Heartbeat &Content) {
+  const membership::MemberStatus &Sender = Content.Sender;
+  const std::string Cause = "message of " + Sender.Vm.Value;
+  this->record(
+      this->Fleet.applyUpdate({Sender.Vm, Sender.Run, Sender.State, From}),
+      Cause);
+  for (const membership::MemberUpdate &Update : Content.Updates) {
+    this->record(this->Fleet.applyUpdate(Update), Cause);
+    this->Hints.mention(Update.Peers, this->Time.monotonicNow());
+  }
+}
+
+void FleetAgent::record(const std::vector<membership::FleetEvent> &Events,
+                        const std::string &Cause) {
+  for (const membership::FleetEvent &Event : Events) {
+    this->Log.write(logging::LogRecord(eventOf(Event.Kind))
+                        .text("peer", Event.Vm.Value)
+                        .text("cause", Cause));
+    const membership::PeerRecord *Peer = this->Fleet.find(Event.Vm);
+    // A loss is this VM's own view; peers have theirs.
+    if (Peer != nullptr && Event.Kind != membership::FleetEventKind::Lost &&
+        Event.Kind != membership::FleetEventKind::DuplicateId)
+      this->Updates.add(
+          {Peer->Status.Vm, Peer->Status.Run, Peer->Status.State, Peer->Peers});
+  }
+  if (!Events.empty())
+    this->publish();
+}
+
+void FleetAgent::publish() {
+  const common::MonotonicTime Now = this->Time.monotonicNow();
+  FleetView View;
+  View.EntryVms.push_back({this->Settings.Vm, this->Settings.Callers,
+                           this->Settings.FailureDomain, Now});
+  for (const membership::PeerRecord *Peer : this->Fleet.servingPeers(Now))
+    View.EntryVms.push_back({Peer->Status.Vm, Peer->Status.Callers,
+                             Peer->Status.FailureDomain, Peer->EvidenceAt});
+  this->Size.note(Now,
+                  static_cast<unsigned>(1 + this->Fleet.livePeers().size()));
+  View.VmCount = this->Size.largest(Now);
+  this->Listener.onFleet(View);
+}
+
+} // namespace acaciacross::fleet
--- /dev/null
+++ b/Source/Fleet/FleetView.h
@@ -0,0 +1,21 @@
+#ifndef ACACIACROSS_FLEET_FLEETVIEW_H
+#define ACACIACROSS_FLEET_FLEETVIEW_H
+
+#include "Routing/AddressCandidate.h"
+
+#include <vector>
+
+namespace acaciacross::fleet {
+
+/// What this VM knows of the fleet.
+struct FleetView {
+  /// This VM first, then the peers that serve.
+  std::vector<routing::AddressCandidate> EntryVms;
+  /// VMs that may hold connections to searchers or have sent requests in the
+  /// last window of the repeat budget, with this one.
+  unsigned VmCount = 1;
+};
+
+} // namespace acaciacross::fleet
+
+#endif
--- /dev/null
+++ b/Source/Forwarding/Refusal.h
@@ -0,0 +1,18 @@
+#ifndef ACACIACROSS_FORWARDING_REFUSAL_H
+#define ACACIACROSS_FORWARDING_REFUSAL_H
+
+#include "Common/ResultCode.h"
+
+#include <chrono>
+
+namespace acaciacross::forwarding {
+
+/// Why a request is rejected before anything is sent, and when to ask again.
+struct Refusal {
+  common::ResultCode Code = common::ResultCode::Overloaded;
+  std::chrono::milliseconds RetryAfter{0};
+};
+
+} // namespace acaciacross::forwarding
+
+#endif
--- /dev/null
+++ b/Source/Forwarding/Repeatability.h
@@ -0,0 +1,16 @@
+#ifndef ACACIACROSS_FORWARDING_REPEATABILITY_H
+#define ACACIACROSS_FORWARDING_REPEATABILITY_H
+
+#include <cstdint>
+
+namespace acaciacross::forwarding {
+
+/// How often one caller attempt may be run by upstreams.
+enum class Repeatability : std::uint8_t {
+  Repeatable,
+  AtMostOnce,
+};
+
+} // namespace acaciacross::forwarding
+
+#endif
--- /dev/null
+++ b/Source/Forwarding/RouteStatistics.h
@@ -0,0 +1,31 @@
+#ifndef ACACIACROSS_FORWARDING_ROUTESTATISTICS_H
+#define ACACIACROSS_FORWARDING_ROUTESTATISTICS_H
+
+#include "Retries/LatencyQuantile.h"
+
+#include <chrono>
+#include <cstdint>
+
+namespace acaciacross::forwarding {
+
+/// Latencies of the attempts of one route, over all its searchers.
+class RouteStatistics {
+public:
+  void add(std::chrono::nanoseconds Latency);
+
+  /// Median; a guess from the route's target until there are samples.
+  std::chrono::nanoseconds typical(std::chrono::milliseconds Target) const;
+  /// Upper bound of the latency of the given share of attempts; the same guess
+  /// until there are samples.
+  std::chrono::nanoseconds quantile(double Fraction,
+                                    std::chrono::milliseconds Target) const;
+
+private:
+  static constexpr std::uint32_t WindowSamples = 500;
+
+  retries::LatencyQuantile Latencies{WindowSamples};
+};
+
+} // namespace acaciacross::forwarding
+
+#endif
--- /dev/null
+++ b/Source/Forwarding/RoutingTable.h
@@ -0,0 +1,47 @@
+#ifndef ACACIACROSS_FORWARDING_ROUTINGTABLE_H
+#define ACACIACROSS_FORWARDING_ROUTINGTABLE_H
+
+#include "Common/Identifiers.h"
+#include "Forwarding/CallerLimits.h"
+#include "Forwarding/Route.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace acaciacross::forwarding {
+
+/// One version of the routes and limits. Immutable once built.
+class RoutingTable {
+public:
+  /// MaxConnections: connections that each searcher of a service accepts from
+  /// all VMs together.
+  RoutingTable(std::uint64_t Version, std::vector<Route> Routes,
+               std::map<common::ServiceName, unsigned> MaxConnections,
+               CallerLimits Limits);
+
+  std::uint64_t version() const;
+  /// The route of that host with the longest prefix of the path; null when
+  /// there is none. Host may carry a port, Target a query.
+  const Route *match(std::string_view Host, std::string_view Target) const;
+  /// Empty for a service that no route uses.
+  const unsigned *maxConnections(const common::ServiceName &Service) const;
+  const CallerLimits &limits() const;
+  const std::vector<Route> &routes() const;
+
+private:
+  static std::string keyOf(std::string_view Host, std::string_view Prefix);
+
+  std::uint64_t Number;
+  std::vector<Route> All;
+  std::map<common::ServiceName, unsigned> Connections;
+  CallerLimits Bounds;
+  std::unordered_map<std::string, std::size_t> ByPrefix;
+};
+
+} // namespace acaciacross::forwarding
+
+#endif
--- /dev/null
+++ b/Source/Forwarding/ServiceBook.cpp
@@ -0,0 +1,86 @@
+#include "Forwarding/ServiceBook.h"
+
+#include <set>
+#include <utility>
+
+namespace acaciacross::forwarding {
+
+ServiceBook::ServiceBook(RepeatBudgetSettings FleetBounds)
+    : Bounds(FleetBounds) {}
+
+void ServiceBook::setSearchers(const std::vector<SearcherEntry> &Entries) {
+  std::map<common::SearcherId, std::shared_ptr<ReplicaRecord>> Listed;
+  this->ByService.clear();
+  for (const SearcherEntry &Entry : Entries) {
+    const auto Known = this->Searchers.find(Entry.Id);
+    std::shared_ptr<ReplicaRecord> Record;
+    if (Known != this->Searchers.end() &&
+        Known->second->entry().Service == Entry.Service) {
+      Record = Known->second;
+      Record->update(Entry);
+    } else {
+      Record = std::make_shared<ReplicaRecord>(Entry);
+    }
+    this->ByService[Entry.Service].push_back(Record);
+    Listed.emplace(Entry.Id, std::move(Record));
+  }
+  for (const auto &[Id, Record] : this->Searchers) {
+    const auto Kept = Listed.find(Id);
+    if (Kept == Listed.end() || Kept->second != Record)
+      Record->markRemoved();
+  }
+  this->Searchers = std::move(Listed);
+}
+
+void ServiceBook::setTable(std::shared_ptr<const RoutingTable> Current) {
+  this->Table = std::move(Current);
+  std::set<std::string> Names;
+  for (const Route &Each : this->Table->routes())
+    Names.insert(Each.Name);
+  const auto IsGone = [&](const auto &Item) {
+    return !Names.contains(Item.first);
+  };
+  std::erase_if(this->Statistics, IsGone);
+  std::erase_if(this->Dealers, IsGone);
+}
+
+void ServiceBook::setVmCount(unsigned Count) { this->Vms = Count; }
+
+const std::shared_ptr<const RoutingTable> &ServiceBook::table() const {
+  return this->Table;
+}
+
+std::span<const std::shared_ptr<ReplicaRecord>>
+ServiceBook::replicas(const common::ServiceName &Service) const {
+  const auto Found = this->ByService.find(Service);
+  if (Found == this->ByService.end())
+    return {};
+  return Found->second;
+}
+
+// A budget outlives its service in the table, because extra arrivals count in
+// the bound for a whole window after the last request.
+RepeatBudget &ServiceBook::budget(const common::ServiceName &Service) {
+  return this->Budgets.try_emplace(Service, this->Bounds).first->second;
+}
+
+std::shared_ptr<RouteStatistics>
+ServiceBook::statistics(const std::string &RouteName) {
+  std::shared_ptr<RouteStatistics> &Found = this->Statistics[RouteName];
+  if (Found == nullptr)
+    Found = std::make_shared<RouteStatistics>();
+  return Found;
+}
+
+SplitDealer &ServiceBook::dealer(const std::string &RouteName) {
+  return this->Dealers[RouteName];
+}
+
+unsigned ServiceBook::vmCount() const { return this->Vms; }
+
+const std::map<common::SearcherId, std::shared_ptr<ReplicaRecord>> &
+ServiceBook::allSearchers() const {
+  return this->Searchers;
+}
+
+} // namespace acaciacross::forwarding
--- /dev/null
+++ b/Source/Forwarding/ServiceBook.h
@@ -0,0 +1,58 @@
+#ifndef ACACIACROSS_FORWARDING_SERVICEBOOK_H
+#define ACACIACROSS_FORWARDING_SERVICEBOOK_H
+
+#include "Common/Identifiers.h"
+#include "Forwarding/RepeatBudget.h"
+#include "Forwarding/ReplicaRecord.h"
+#include "Forwarding/RouteStatistics.h"
+#include "Forwarding/RoutingTable.h"
+#include "Forwarding/SplitDealer.h"
+
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace acaciacross::forwarding {
+
+/// What the traffic thread knows of services, searchers and routes. Survives
+/// changes of the routing table.
+class ServiceBook {
+public:
+  explicit ServiceBook(RepeatBudgetSettings FleetBounds);
+
+  /// Takes the whole list of published searchers.
+  void setSearchers(const std::vector<SearcherEntry> &Entries);
+  /// Forgets routes and budgets that the table no longer names.
+  void setTable(std::shared_ptr<const RoutingTable> Current);
+  /// VMs of the fleet that may be sending to searchers, with this one.
+  void setVmCount(unsigned Count);
+
+  const std::shared_ptr<const RoutingTable> &table() const;
+  std::span<const std::shared_ptr<ReplicaRecord>>
+  replicas(const common::ServiceName &Service) const;
+  RepeatBudget &budget(const common::ServiceName &Service);
+  std::shared_ptr<RouteStatistics> statistics(const std::string &RouteName);
+  SplitDealer &dealer(const std::string &RouteName);
+  unsigned vmCount() const;
+  const std::map<common::SearcherId, std::shared_ptr<ReplicaRecord>> &
+  allSearchers() const;
+
+private:
+  RepeatBudgetSettings Bounds;
+  unsigned Vms = 1;
+  std::shared_ptr<const RoutingTable> Table;
+  std::map<common::SearcherId, std::shared_ptr<ReplicaRecord>> Searchers;
+  std::unordered_map<common::ServiceName,
+                     std::vector<std::shared_ptr<ReplicaRecord>>>
+      ByService;
+  std::unordered_map<common::ServiceName, RepeatBudget> Budgets;
+  std::unordered_map<std::string, std::shared_ptr<RouteStatistics>> Statistics;
+  std::unordered_map<std::string, SplitDealer> Dealers;
+};
+
+} // namespace acaciacross::forwarding
+
+#endif
--- /dev/null
+++ b/Source/Forwarding/TopRecords.cpp
@@ -0,0 +1,25 @@
+#include "Forwarding/TopRecords.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace acaciacross::forwarding {
+
+std::string TopRecords::merge(const std::vector<std::string_view> &Parts,
+                              std::size_t Count) {
+  std::vector<std::string_view> Records;
+  for (std::string_view Part : Parts)
+    for (; Part.size() >= RecordBytes; Part.remove_prefix(RecordBytes))
+      Records.push_back(Part.substr(0, RecordBytes));
+  const std::size_t Kept = std::min(Count, Records.size());
+  const auto End = Records.begin() + static_cast<std::ptrdiff_t>(Kept);
+  // string_view compares bytes as unsigned.
+  std::partial_sort(Records.begin(), End, Records.end(), std::greater<>());
+  std::string Merged;
+  Merged.reserve(Kept * RecordBytes);
+  for (auto Each = Records.begin(); Each != End; ++Each)
+    Merged.append(*Each);
+  return Merged;
+}
+
+} // namespace acaciacross::forwarding
--- /dev/null
+++ b/Source/Gateway/CallerProtocol.h
@@ -0,0 +1,22 @@
+#ifndef ACACIACROSS_GATEWAY_CALLERPROTOCOL_H
+#define ACACIACROSS_GATEWAY_CALLERPROTOCOL_H
+
+#include "Forwarding/Answer.h"
+#include "Gateway/CallerFacts.h"
+#include "Http/Request.h"
+#include "Http/Response.h"
+
+namespace acaciacross::gateway {
+
+/// The encoding towards callers.
+class CallerProtocol {
+public:
+  virtual ~CallerProtocol() = default;
+
+  virtual CallerFacts decode(const http::Request &Request) const = 0;
+  virtual http::Response encode(const forwarding::Answer &Result) const = 0;
+};
+
+} // namespace acaciacross::gateway
+
+#endif
--- /dev/null
+++ b/Source/Gateway/ConnectionShare.cpp
@@ -0,0 +1,28 @@
+#include "Gateway/ConnectionShare.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace acaciacross::gateway {
+
+namespace {
+
+// The rest is for connections that one side has closed and the other still
+// counts, and for VMs that have just joined.
+constexpr double UsablePart = 0.85;
+// For a service without a published limit.
+constexpr std::size_t DefaultConnections = 4;
+
+} // namespace
+
+std::size_t ConnectionShare::of(const forwarding::ServiceBook &Book,
+                                const common::ServiceName &Service) {
+  const unsigned *Accepted =
+      Book.table() == nullptr ? nullptr : Book.table()->maxConnections(Service);
+  if (Accepted == nullptr)
+    return DefaultConnections;
+  const double Share = UsablePart * *Accepted / std::max(1U, Book.vmCount());
+  return std::max<std::size_t>(1, static_cast<std::size_t>(std::floor(Share)));
+}
+
+} // namespace acaciacross::gateway
--- /dev/null
+++ b/Source/Gateway/ForwardingHandler.cpp
@@ -0,0 +1,282 @@
+#include "Gateway/ForwardingHandler.h"
+
+#include "Forwarding/GatherExecution.h"
+#include "Forwarding/SingleExecution.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace acaciacross::gateway {
+
+namespace {
+
+using common::ResultCode;
+using forwarding::AnswerKind;
+
+constexpr int BadRequest = 400;
+constexpr int NotFound = 404;
+constexpr int RequestTimeout = 408;
+constexpr int ContentTooLarge = 413;
+constexpr int HeadTooLarge = 431;
+constexpr int Unavailable = 503;
+
+// The last answer must leave this VM before the time of the route is over.
+constexpr std::chrono::milliseconds AnswerMargin{10};
+// The first configuration arrives within a second or two of the start.
+constexpr std::chrono::milliseconds JoiningRetryPause{300};
+// Ordinary answers are told by the metrics; some lines show their inputs.
+constexpr std::uint64_t OrdinaryPerLine = 64;
+
+struct Rejection {
+  ResultCode Code;
+  int Status;
+};
+
+Rejection rejectionOf(http::ParseProblem Problem) {
+  switch (Problem) {
+  case http::ParseProblem::None:
+    return {ResultCode::RequestTooSlow, RequestTimeout};
+  case http::ParseProblem::HeadTooLarge:
+    return {ResultCode::RequestTooLarge, HeadTooLarge};
+  case http::ParseProblem::BodyTooLarge:
+    return {ResultCode::RequestTooLarge, ContentTooLarge};
+  case http::ParseProblem::Malformed:
+    break;
+  }
+  return {ResultCode::MalformedRequest, BadRequest};
+}
+
+common::LogEvent eventOf(const forwarding::Answer &Result) {
+  switch (Result.Kind) {
+  case AnswerKind::Refused:
+    return common::LogEvent::RequestRefused;
+  case AnswerKind::Failed:
+    return common::LogEvent::RequestFailed;
+  case AnswerKind::Upstream:
+  case AnswerKind::Gathered:
+    break;
+  }
+  return Result.MissingShards > 0 ? common::LogEvent::RequestPartial
+                                  : common::LogEvent::RequestAnswered;
+}
+
+} // namespace
+
+ForwardingHandler::ForwardingHandler(net::EventLoop &Events,
+                                     const forwarding::ForwardingTools &Shared,
+                                     const forwarding::AdmissionRule &Rule,
+                                     const CallerProtocol &Encoding,
+                                     logging::EventLog &Journal)
+    : Loop(Events), Tools(Shared), Admission(Rule), Protocol(Encoding),
+      Log(Journal) {}
+
+ForwardingHandler::~ForwardingHandler() {
+  for (const auto &[Connection, Request] : this->Active)
+    Request->cancel();
+}
+
+void ForwardingHandler::beginStop() { this->Stopping = true; }
+
+std::size_t ForwardingHandler::active() const { return this->ActiveCount; }
+
+const RequestCounters &ForwardingHandler::counters() const {
+  return this->Counters;
+}
+
+void ForwardingHandler::onRequest(
+    const std::shared_ptr<ServerConnection> &Connection,
+    http::Request Message) {
+  const CallerFacts Facts = this->Protocol.decode(Message);
+  const std::shared_ptr<const forwarding::RoutingTable> &Table =
+      this->Tools.Services.table();
+  if (Table == nullptr) {
+    this->reject(*Connection, Facts.Id, ResultCode::NotServing, Unavailable,
+                 JoiningRetryPause);
+    return;
+  }
+  const std::string *Host = Message.Headers.find("Host");
+  const forwarding::Route *Target =
+      Host == nullptr ? nullptr : Table->match(*Host, Message.Target);
+  if (Target == nullptr) {
+    this->reject(*Connection, Facts.Id, ResultCode::NotFound, NotFound, {});
+    return;
+  }
+  if (Facts.Id.Value.empty()) {
+    this->reject(*Connection, Facts.Id, ResultCode::MalformedRequest,
+                 BadRequest, {});
+    return;
+  }
+  const auto Request = std::make_shared<forwarding::ForwardRequest>();
+  Request->Id = Facts.Id;
+  Request->Message = std::move(Message);
+  Request->ArrivedAt = Connection->requestAt();
+  const auto Limit =
+      std::min(Target->Timeout, Facts.TimeLeft.value_or(Target->Timeout));
+  Request->AnswerBy =
+      Request->ArrivedAt + std::max(Limit - AnswerMargin, AnswerMargin);
+  Request->Table = Table;
+  Request->Target = Target;
+  this->execute(Connection, Request);
+}
+
+void ForwardingHandler::execute(
+    const std::shared_ptr<ServerConnection> &Connection,
+    const std::shared_ptr<const forwarding::ForwardRequest> &Request) {
+  const forwarding::Route &Target = *Request->Target;
+  const std::vector<common::ServiceName> Services = this->servicesOf(Target);
+  const auto Active =
+      std::make_shared<ActiveRequest>(this->Loop, *this, Connection, Request);
+  this->Active.emplace(Connection.get(), Active);
+  this->ActiveCount = this->Active.size();
+  const auto Refused = this->Admission.check(
+      *Request, Services, this->Tools.Services, this->Loop.now());
+  if (Refused) {
+    forwarding::Answer Result;
+    Result.Kind = AnswerKind::Refused;
+    Result.Code = Refused->Code;
+    Result.Message.Status = Unavailable;
+    Result.RetryAfter = Refused->RetryAfter;
+    this->finish(*Active, std::move(Result));
+    return;
+  }
+  if (Target.Gather)
+    Active->start(std::make_unique<forwarding::GatherExecution>(
+        this->Tools, Request, *Active));
+  else
+    Active->start(std::make_unique<forwarding::SingleExecution>(
+        this->Tools, Request, Services.front(), *Active));
+}
+
+void ForwardingHandler::onClosed(ServerConnection &Connection) {
+  const auto Found = this->Active.find(&Connection);
+  if (Found == this->Active.end())
+    return;
+  const std::shared_ptr<ActiveRequest> Request = Found->second;
+  this->Active.erase(Found);
+  this->ActiveCount = this->Active.size();
+  this->Loop.retire(Request);
+  Request->cancel();
+  const forwarding::ForwardRequest &Whole = Request->request();
+  this->Counters.noteAbandoned(Whole.Target->Name);
+  this->Log.write(
+      logging::LogRecord(common::LogEvent::RequestAbandoned)
+          .text("request", Whole.Id.Value)
+          .text("route", Whole.Target->Name)
+          .milliseconds("waited_ms", this->Loop.now() - Whole.ArrivedAt));
+}
+
+void ForwardingHandler::onUnreadable(ServerConnection &Connection,
+                                     http::ParseProblem Problem) {
+  const Rejection Reason = rejectionOf(Problem);
+  this->reject(Connection, {}, Reason.Code, Reason.Status, {});
+}
+
+std::size_t ForwardingHandler::maxHeadBytes() const {
+  return this->limits().MaxHeadBytes;
+}
+
+std::size_t ForwardingHandler::maxBodyBytes() const {
+  return this->limits().MaxBodyBytes;
+}
+
+std::chrono::milliseconds ForwardingHandler::headTimeout() const {
+  return this->limits().HeadTimeout;
+}
+
+std::chrono::milliseconds ForwardingHandler::idleTimeout() const {
+  return this->limits().IdleTimeout;
+}
+
+bool ForwardingHandler::isStopping() const { return this->Stopping; }
+
+forwarding::CallerLimits ForwardingHandler::limits() const {
+  const auto &Table = this->Tools.Services.table();
+  return Table == nullptr ? forwarding::CallerLimits() : Table->limits();
+}
+
+std::vector<common::ServiceName>
+ForwardingHandler::servicesOf(const forwarding::Route &Target) const {
+  if (Target.Gather)
+    return Target.Gather->Shards;
+  return {this->Tools.Services.dealer(Target.Name).deal(Target.Services)};
+}
+
+void ForwardingHandler::reject(ServerConnection &Connection,
+                               const common::RequestId &Id, ResultCode Code,
+                               int Status,
+                               std::chrono::milliseconds RetryAfter) {
+  forwarding::Answer Result;
+  Result.Kind = AnswerKind::Refused;
+  Result.Code = Code;
+  Result.Message.Status = Status;
+  if (RetryAfter.count() > 0)
+    Result.RetryAfter = RetryAfter;
+  this->Counters.noteUnrouted(Code);
+  const auto &Table = this->Tools.Services.table();
+  this->Log.write(logging::LogRecord(common::LogEvent::RequestRefused)
+                      .text("request", Id.Value)
+                      .number("result", static_cast<int>(Code))
+                      .text("reason", common::resultCodeName(Code))
+                      .number("status", Status)
+                      .number("version", Table == nullptr
+                                             ? 0
+                                             : static_cast<std::int64_t>(
+                                                   Table->version())));
+  Connection.respond(this->Protocol.encode(Result));
+}
+
+void ForwardingHandler::finish(ActiveRequest &Request,
+                               forwarding::Answer Result) {
+  ServerConnection &Caller = Request.caller();
+  const auto Found = this->Active.find(&Caller);
+  this->Loop.retire(Found->second);
+  this->Active.erase(Found);
+  this->ActiveCount = this->Active.size();
+  this->record(Request.request(), Result);
+  Caller.respond(this->Protocol.encode(Result));
+}
+
+void ForwardingHandler::record(const forwarding::ForwardRequest &Request,
+                               const forwarding::Answer &Result) {
+  const auto Latency = this->Loop.now() - Request.ArrivedAt;
+  const forwarding::Route &Target = *Request.Target;
+  this->Counters.noteAnswer(Target.Name, Result.Kind, Result.Code,
+                            Result.MissingShards, Latency,
+                            Target.LatencyTarget);
+  const common::LogEvent Event = eventOf(Result);
+  const bool IsOrdinary = Event == common::LogEvent::RequestAnswered &&
+                          Latency <= Target.LatencyTarget;
+  if (IsOrdinary && ++this->Ordinary % OrdinaryPerLine != 0)
+    return;
+  logging::LogRecord Line(Event);
+  Line.text("request", Request.Id.Value)
+      .text("route", Target.Name)
+      .number("version", static_cast<std::int64_t>(Request.Table->version()))
+      .number("result", static_cast<int>(Result.Code))
+      .text("reason", common::resultCodeName(Result.Code))
+      .number("status", Result.Message.Status)
+      .milliseconds("waited_ms", Latency)
+      .milliseconds("target_ms", Target.LatencyTarget)
+      .milliseconds("limit_ms", Request.AnswerBy - Request.ArrivedAt)
+      .number("missing", static_cast<std::int64_t>(Result.MissingShards))
+      .number("attempts", static_cast<std::int64_t>(Result.Attempts.size()));
+  this->Log.write(Line);
+  if (IsOrdinary)
+    return;
+  for (const forwarding::AttemptNote &Note : Result.Attempts) {
+    if (Note.End == forwarding::AttemptEnd::Answered && Note.Status < 300 &&
+        Target.Gather)
+      continue;
+    this->Log.write(logging::LogRecord(common::LogEvent::AttemptEnded)
+                        .text("request", Request.Id.Value)
+                        .text("service", Note.Service.Value)
+                        .text("searcher", Note.Searcher.Value)
+                        .text("end", forwarding::attemptEndName(Note.End))
+                        .flag("abandoned", Note.Abandoned)
+                        .number("status", Note.Status)
+                        .milliseconds("took_ms", Note.Duration));
+  }
+}
+
+} // namespace acaciacross::gateway
--- /dev/null
+++ b/Source/Gateway/ForwardingHandler.h
@@ -0,0 +1,80 @@
+#ifndef ACACIACROSS_GATEWAY_FORWARDINGHANDLER_H
+#define ACACIACROSS_GATEWAY_FORWARDINGHANDLER_H
+
+#include "Common/Clock.h"
+#include "Forwarding/AdmissionRule.h"
+#include "Forwarding/ForwardingTools.h"
+#include "Gateway/ActiveRequest.h"
+#include "Gateway/CallerProtocol.h"
+#include "Gateway/RequestCounters.h"
+#include "Gateway/RequestHandler.h"
+#include "Logging/EventLog.h"
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace acaciacross::gateway {
+
+/// Takes the requests of callers, has them executed and answers them.
+class ForwardingHandler final : public RequestHandler {
+public:
+  ForwardingHandler(net::EventLoop &Events,
+                    const forwarding::ForwardingTools &Shared,
+                    const forwarding::AdmissionRule &Rule,
+                    const CallerProtocol &Encoding, logging::EventLog &Journal);
+  ~ForwardingHandler() override;
+  ForwardingHandler(const ForwardingHandler &) = delete;
+  ForwardingHandler &operator=(const ForwardingHandler &) = delete;
+
+  /// From now on every response closes its connection.
+  void beginStop();
+  /// Requests that are being answered. Thread-safe.
+  std::size_t active() const;
+  const RequestCounters &counters() const;
+
+  void onRequest(const std::shared_ptr<ServerConnection> &Connection,
+                 http::Request Request) override;
+  void onClosed(ServerConnection &Connection) override;
+  void onUnreadable(ServerConnection &Connection,
+                    http::ParseProblem Problem) override;
+  std::size_t maxHeadBytes() const override;
+  std::size_t maxBodyBytes() const override;
+  std::chrono::milliseconds headTimeout() const override;
+  std::chrono::milliseconds idleTimeout() const override;
+  bool isStopping() const override;
+
+private:
+  friend class ActiveRequest;
+
+  forwarding::CallerLimits limits() const;
+  std::vector<common::ServiceName>
+  servicesOf(const forwarding::Route &Target) const;
+  void
+  execute(const std::shared_ptr<ServerConnection> &Connection,
+          const std::shared_ptr<const forwarding::ForwardRequest> &Request);
+  /// Answers before there is a route.
+  void reject(ServerConnection &Connection, const common::RequestId &Id,
+              common::ResultCode Code, int Status,
+              std::chrono::milliseconds RetryAfter);
+  void finish(ActiveRequest &Request, forwarding::Answer Result);
+  void record(const forwarding::ForwardRequest &Request,
+              const forwarding::Answer &Result);
+
+  net::EventLoop &Loop;
+  const forwarding::ForwardingTools &Tools;
+  const forwarding::AdmissionRule &Admission;
+  const CallerProtocol &Protocol;
+  logging::EventLog &Log;
+  RequestCounters Counters;
+  std::unordered_map<ServerConnection *, std::shared_ptr<ActiveRequest>> Active;
+  std::atomic<std::size_t> ActiveCount = 0;
+  std::uint64_t Ordinary = 0;
+  bool Stopping = false;
+};
+
+} // namespace acaciacross::gateway
+
+#endif
--- /dev/null
+++ b/Source/Gateway/Listener.h
@@ -0,0 +1,45 @@
+#ifndef ACACIACROSS_GATEWAY_LISTENER_H
+#define ACACIACROSS_GATEWAY_LISTENER_H
+
+#include "Common/Address.h"
+#include "Gateway/RequestHandler.h"
+#include "Gateway/ServerConnection.h"
+#include "Net/Descriptor.h"
+#include "Net/EventLoop.h"
+
+#include <memory>
+#include <unordered_map>
+
+namespace acaciacross::gateway {
+
+/// Accepts the connections at one address and owns them.
+class Listener final : public net::IoHandler {
+public:
+  /// Throws common::Error (SocketFailed).
+  Listener(net::EventLoop &Events, const common::Address &Local,
+           RequestHandler &Receiver);
+  ~Listener() override;
+  Listener(const Listener &) = delete;
+  Listener &operator=(const Listener &) = delete;
+
+  /// Refuses new connections.
+  void stopAccepting();
+  /// Closes connections on which no request is answered.
+  void closeIdle();
+  std::size_t size() const;
+
+private:
+  void onReady(std::uint32_t Events) override;
+  void removeClosed();
+
+  net::EventLoop &Loop;
+  RequestHandler &Handler;
+  net::Descriptor Socket;
+  std::unordered_map<ServerConnection *, std::shared_ptr<ServerConnection>>
+      Connections;
+  std::size_t SweepAt;
+};
+
+} // namespace acaciacross::gateway
+
+#endif
--- /dev/null
+++ b/Source/Gateway/PageHandler.h
@@ -0,0 +1,31 @@
+#ifndef ACACIACROSS_GATEWAY_PAGEHANDLER_H
+#define ACACIACROSS_GATEWAY_PAGEHANDLER_H
+
+#include "Gateway/PageSource.h"
+#include "Gateway/RequestHandler.h"
+
+namespace acaciacross::gateway {
+
+/// Serves the pages of one source.
+class PageHandler final : public RequestHandler {
+public:
+  explicit PageHandler(PageSource &Pages);
+
+  void onRequest(const std::shared_ptr<ServerConnection> &Connection,
+                 http::Request Request) override;
+  void onClosed(ServerConnection &Connection) override;
+  void onUnreadable(ServerConnection &Connection,
+                    http::ParseProblem Problem) override;
+  std::size_t maxHeadBytes() const override;
+  std::size_t maxBodyBytes() const override;
+  std::chrono::milliseconds headTimeout() const override;
+  std::chrono::milliseconds idleTimeout() const override;
+  bool isStopping() const override;
+
+private:
+  PageSource &Source;
+};
+
+} // namespace acaciacross::gateway
+
+#endif
--- /dev/null
+++ b/Source/Gateway/PageSource.h
@@ -0,0 +1,19 @@
+#ifndef ACACIACROSS_GATEWAY_PAGESOURCE_H
+#define ACACIACROSS_GATEWAY_PAGESOURCE_H
+
+#include "Http/Request.h"
+#include "Http/Response.h"
+
+namespace acaciacross::gateway {
+
+/// Answers requests from what this VM knows.
+class PageSource {
+public:
+  virtual ~PageSource() = default;
+
+  virtual http::Response page(const http::Request &Request) = 0;
+};
+
+} // namespace acaciacross::gateway
+
+#endif
--- /dev/null
+++ b/Source/Gateway/RequestCounters.cpp
@@ -0,0 +1,86 @@
+#include "Gateway/RequestCounters.h"
+
+namespace acaciacross::gateway {
+
+namespace {
+
+using forwarding::AnswerKind;
+
+// Routes that were removed keep their counts; a configuration can name any
+// number of them over time.
+constexpr std::size_t MaxRoutes = 200;
+constexpr const char *OtherRoutes = "other";
+
+const char *nameOf(AnswerKind Kind) {
+  switch (Kind) {
+  case AnswerKind::Upstream:
+    return "upstream";
+  case AnswerKind::Gathered:
+    return "gathered";
+  case AnswerKind::Refused:
+    return "refused";
+  case AnswerKind::Failed:
+    return "failed";
+  }
+  return "unknown";
+}
+
+} // namespace
+
+void RequestCounters::noteAnswer(const std::string &Route, AnswerKind Kind,
+                                 common::ResultCode Code,
+                                 std::size_t MissingShards,
+                                 std::chrono::nanoseconds Latency,
+                                 std::chrono::milliseconds Target) {
+  RouteCounts &Counts = this->of(Route);
+  ++Counts.Answers[{Kind, Code}];
+  Counts.MissingShards += MissingShards;
+  const bool IsServed =
+      Kind == AnswerKind::Upstream || Kind == AnswerKind::Gathered;
+  if (!IsServed)
+    return;
+  Counts.Latency.add(Latency);
+  Counts.Late += Latency > Target ? 1 : 0;
+}
+
+void RequestCounters::noteAbandoned(const std::string &Route) {
+  ++this->of(Route).Abandoned;
+}
+
+void RequestCounters::noteUnrouted(common::ResultCode Code) {
+  ++this->Unrouted[Code];
+}
+
+void RequestCounters::write(std::ostream &Page) const {
+  Page << "# TYPE acaciacross_answers_total counter\n";
+  for (const auto &[Route, Counts] : this->Routes)
+    for (const auto &[Outcome, Count] : Counts.Answers)
+      Page << "acaciacross_answers_total{route=\"" << Route << "\",kind=\""
+           << nameOf(Outcome.first) << "\",result=\""
+           << common::resultCodeName(Outcome.second) << "\"} " << Count << '\n';
+  Page << "# TYPE acaciacross_unrouted_total counter\n";
+  for (const auto &[Code, Count] : this->Unrouted)
+    Page << "acaciacross_unrouted_total{result=\""
+         << common::resultCodeName(Code) << "\"} " << Count << '\n';
+  Page << "# TYPE acaciacross_abandoned_total counter\n"
+       << "# TYPE acaciacross_late_total counter\n"
+       << "# TYPE acaciacross_missing_shards_total counter\n"
+       << "# TYPE acaciacross_answer_seconds histogram\n";
+  for (const auto &[Route, Counts] : this->Routes) {
+    const std::string Label = "route=\"" + Route + "\"";
+    Page << "acaciacross_abandoned_total{" << Label << "} " << Counts.Abandoned
+         << "\nacaciacross_late_total{" << Label << "} " << Counts.Late
+         << "\nacaciacross_missing_shards_total{" << Label << "} "
+         << Counts.MissingShards << '\n';
+    Counts.Latency.write(Page, "acaciacross_answer_seconds", Label);
+  }
+}
+
+RequestCounters::RouteCounts &RequestCounters::of(const std::string &Route) {
+  const auto Found = this->Routes.find(Route);
+  if (Found != this->Routes.end())
+    return Found->second;
+  return this->Routes[this->Routes.size() < MaxRoutes ? Route : OtherRoutes];
+}
+
+} // namespace acaciacross::gateway
--- /dev/null
+++ b/Source/Gateway/RequestCounters.h
@@ -0,0 +1,52 @@
+#ifndef ACACIACROSS_GATEWAY_REQUESTCOUNTERS_H
+#define ACACIACROSS_GATEWAY_REQUESTCOUNTERS_H
+
+#include "Common/ResultCode.h"
+#include "Forwarding/AnswerKind.h"
+#include "Metrics/LatencyHistogram.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <ostream>
+#include <string>
+#include <utility>
+
+namespace acaciacross::gateway {
+
+/// Counts what callers got, by route.
+class RequestCounters {
+public:
+  void noteAnswer(const std::string &Route, forwarding::AnswerKind Kind,
+                  common::ResultCode Code, std::size_t MissingShards,
+                  std::chrono::nanoseconds Latency,
+                  std::chrono::milliseconds Target);
+  /// The caller left before the answer.
+  void noteAbandoned(const std::string &Route);
+  /// Rejected without a route.
+  void noteUnrouted(common::ResultCode Code);
+
+  /// In the Prometheus text form.
+  void write(std::ostream &Page) const;
+
+private:
+  struct RouteCounts {
+    std::map<std::pair<forwarding::AnswerKind, common::ResultCode>,
+             std::uint64_t>
+        Answers;
+    std::uint64_t Abandoned = 0;
+    std::uint64_t Late = 0;
+    std::uint64_t MissingShards = 0;
+    metrics::LatencyHistogram Latency;
+  };
+
+  RouteCounts &of(const std::string &Route);
+
+  std::map<std::string, RouteCounts> Routes;
+  std::map<common::ResultCode, std::uint64_t> Unrouted;
+};
+
+} // namespace acaciacross::gateway
+
+#endif
--- /dev/null
+++ b/Source/Gateway/UpstreamConnection.h
@@ -0,0 +1,58 @@
+#ifndef ACACIACROSS_GATEWAY_UPSTREAMCONNECTION_H
+#define ACACIACROSS_GATEWAY_UPSTREAMCONNECTION_H
+
+#include "Common/Address.h"
+#include "Gateway/UpstreamListener.h"
+#include "Http/ResponseParser.h"
+#include "Net/Descriptor.h"
+#include "Net/EventLoop.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace acaciacross::gateway {
+
+/// A connection to a searcher, for one request at a time.
+class UpstreamConnection final
+    : public net::IoHandler,
+      public std::enable_shared_from_this<UpstreamConnection> {
+public:
+  UpstreamConnection(net::EventLoop &Events, UpstreamListener &Receiver);
+
+  /// Begins to connect; the end is told later even when it fails at once.
+  void open(const common::Address &Remote);
+  /// Sends a request. HasBody: whether its response has one.
+  void send(std::string_view Bytes, bool HasBody);
+  /// The listener is not told.
+  void close();
+
+  bool isConnected() const;
+  bool isClosed() const;
+
+private:
+  void onReady(std::uint32_t Events) override;
+  void finishConnect();
+  void onReadable();
+  void parse(std::string_view Bytes);
+  void write(std::string_view Bytes);
+  void watch(std::uint32_t Wanted);
+  void fail();
+
+  net::EventLoop &Loop;
+  UpstreamListener &Listener;
+  net::Descriptor Socket;
+  http::ResponseParser Parser;
+  std::string Output;
+  bool Connected = false;
+  /// A request was sent whose response is not complete.
+  bool Busy = false;
+  std::uint32_t Interest = 0;
+  std::optional<net::TimerId> ConnectTimer;
+};
+
+} // namespace acaciacross::gateway
+
+#endif
--- /dev/null
+++ b/Source/Gateway/UpstreamPort.h
@@ -0,0 +1,85 @@
+#ifndef ACACIACROSS_GATEWAY_UPSTREAMPORT_H
+#define ACACIACROSS_GATEWAY_UPSTREAMPORT_H
+
+#include "Forwarding/AttemptPort.h"
+#include "Forwarding/ServiceBook.h"
+#include "Gateway/ConnectionPool.h"
+#include "Gateway/SearcherProtocol.h"
+#include "Gateway/UpstreamAttempt.h"
+#include "Gateway/UpstreamListener.h"
+#include "Net/EventLoop.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <utility>
+
+namespace acaciacross::gateway {
+
+/// Sends attempts over pooled connections.
+class UpstreamPort final : public forwarding::AttemptPort,
+                           private UpstreamListener {
+public:
+  UpstreamPort(net::EventLoop &Events, forwarding::ServiceBook &Known,
+               const SearcherProtocol &Encoding);
+  ~UpstreamPort() override;
+  UpstreamPort(const UpstreamPort &) = delete;
+  UpstreamPort &operator=(const UpstreamPort &) = delete;
+
+  bool hasRoom(const forwarding::ReplicaRecord &Replica) const override;
+  forwarding::AttemptNumber
+  start(const std::shared_ptr<const forwarding::ForwardRequest> &Request,
+        const std::shared_ptr<forwarding::ReplicaRecord> &Replica,
+        const std::shared_ptr<forwarding::RouteStatistics> &Statistics,
+        common::MonotonicTime AnswerBy,
+        forwarding::AttemptListener &Listener) override;
+  void abandon(forwarding::AttemptNumber Attempt,
+               forwarding::AbandonMode Mode) override;
+  void awaitRoom(const common::ServiceName &Service,
+                 forwarding::AttemptListener &Listener) override;
+  void stopAwaiting(forwarding::AttemptListener &Listener) override;
+
+  /// Closes connections to searchers that are no longer listed.
+  void closeUnlisted();
+
+  std::uint64_t connectionsOpened() const;
+  std::size_t connections() const;
+
+private:
+  using AttemptMap =
+      std::unordered_map<forwarding::AttemptNumber, UpstreamAttempt>;
+
+  void onConnected(UpstreamConnection &Connection) override;
+  bool onResponse(UpstreamConnection &Connection, http::Response Response,
+                  bool MayReuse) override;
+  void onUpstreamClosed(UpstreamConnection &Connection, bool WasSent) override;
+
+  ConnectionPool &poolOf(const forwarding::SearcherEntry &Searcher);
+  void send(const UpstreamAttempt &Attempt);
+  /// Takes the attempt off; its searcher's record knows that it has ended.
+  UpstreamAttempt take(AttemptMap::iterator Position);
+  void learn(const UpstreamAttempt &Attempt, const SearcherReply &Reply,
+             const http::Response &Response);
+  void learnOverdue(const UpstreamAttempt &Attempt);
+  void closeConnection(const UpstreamAttempt &Attempt);
+  void onLingerEnd(forwarding::AttemptNumber Attempt);
+  void offerRoom(const common::ServiceName &Service);
+
+  net::EventLoop &Loop;
+  forwarding::ServiceBook &Book;
+  const SearcherProtocol &Protocol;
+  std::map<common::SearcherId, ConnectionPool> Pools;
+  AttemptMap Attempts;
+  std::unordered_map<const UpstreamConnection *, forwarding::AttemptNumber>
+      ByConnection;
+  std::map<common::ServiceName, std::deque<forwarding::AttemptListener *>>
+      Waiting;
+  std::uint64_t NextNumber = 1;
+  std::uint64_t Opened = 0;
+};
+
+} // namespace acaciacross::gateway
+
+#endif
--- /dev/null
+++ b/Source/Http/Request.h
@@ -0,0 +1,23 @@
+#ifndef ACACIACROSS_HTTP_REQUEST_H
+#define ACACIACROSS_HTTP_REQUEST_H
+
+#include "Http/HeaderList.h"
+
+#include <string>
+
+namespace acaciacross::http {
+
+/// A request with its whole body.
+struct Request {
+  std::string Method;
+  /// Path and query, byte for byte.
+  std::string Target;
+  HeaderList Headers;
+  std::string Body;
+  /// Whether the connection may carry another request.
+  bool KeepAlive = false;
+};
+
+} // namespace acaciacross::http
+
+#endif
--- /dev/null
+++ b/Source/Http/RequestParser.cpp
@@ -0,0 +1,38 @@
+#include "Http/RequestParser.h"
+
+#include <utility>
+
+namespace acaciacross::http {
+
+RequestParser::RequestParser(std::size_t MaxHeadBytes, std::size_t MaxBodyBytes)
+    : MessageParser(HTTP_REQUEST, MaxHeadBytes, MaxBodyBytes) {}
+
+Request RequestParser::take(std::size_t MaxHeadBytes,
+                            std::size_t MaxBodyBytes) {
+  Request Taken = std::move(this->Message);
+  this->Message = Request();
+  this->restart();
+  this->setLimits(MaxHeadBytes, MaxBodyBytes);
+  return Taken;
+}
+
+bool RequestParser::expectsContinue() const {
+  return this->isHeadComplete() && !this->isComplete() &&
+         this->Message.Headers.find("Expect") != nullptr;
+}
+
+void RequestParser::takeTarget(std::string_view Part) {
+  this->Message.Target.append(Part);
+}
+
+bool RequestParser::takeHead(http_parser &Source, HeaderList Headers) {
+  this->Message.Method =
+      http_method_str(static_cast<http_method>(Source.method));
+  this->Message.Headers = std::move(Headers);
+  this->Message.KeepAlive = http_should_keep_alive(&Source) != 0;
+  return true;
+}
+
+std::string &RequestParser::body() { return this->Message.Body; }
+
+} // namespace acaciacross::http
--- a/Source/SystemTests/JsonNode.cpp
+++ b/Source/Json/JsonNode.cpp
@@ -1,8 +1,8 @@
-#include "SystemTests/JsonNode.h"
+#include "Json/JsonNode.h"
 
 #include <cereal/archives/json.hpp>
 
-namespace acaciacross::systemtests {
+namespace acaciacross::json {
 
 struct JsonNode::Tree {
   rapidjson::Document Document;
@@ -20,7 +20,11 @@
 
 JsonNode JsonNode::parse(const std::string &Text) {
   const auto Parsed = std::make_shared<Tree>();
-  Parsed->Document.Parse(Text.c_str(), Text.size());
+  // Iterative, because a text of a million opening brackets would overflow the
+  // stack of the recursive parser.
+  Parsed->Document.Parse<rapidjson::kParseIterativeFlag |
+                         rapidjson::kParseValidateEncodingFlag>(Text.c_str(),
+                                                                Text.size());
   JsonNode Node;
   if (Parsed->Document.HasParseError())
     return Node;
@@ -56,19 +60,42 @@
   return Here.IsArray() ? Here.Size() : 0;
 }
 
-std::string JsonNode::string() const {
+bool JsonNode::isObject() const { return valueOf(this->Value).IsObject(); }
+
+bool JsonNode::isArray() const { return valueOf(this->Value).IsArray(); }
+
+std::optional<std::string> JsonNode::asString() const {
+  const rapidjson::Value &Here = valueOf(this->Value);
+  if (!Here.IsString())
+    return std::nullopt;
+  return std::string(Here.GetString(), Here.GetStringLength());
+}
+
+std::optional<std::int64_t> JsonNode::asInteger() const {
   const rapidjson::Value &Here = valueOf(this->Value);
-  return Here.IsString() ? Here.GetString() : "";
+  if (!Here.IsInt64())
+    return std::nullopt;
+  return Here.GetInt64();
 }
 
-double JsonNode::number() const {
+std::optional<double> JsonNode::asNumber() const {
   const rapidjson::Value &Here = valueOf(this->Value);
-  return Here.IsNumber() ? Here.GetDouble() : 0.0;
+  if (!Here.IsNumber())
+    return std::nullopt;
+  return Here.GetDouble();
 }
 
-bool JsonNode::boolean() const {
+std::optional<bool> JsonNode::asBoolean() const {
   const rapidjson::Value &Here = valueOf(this->Value);
-  return Here.IsBool() && Here.GetBool();
+  if (!Here.IsBool())
+    return std::nullopt;
+  return Here.GetBool();
 }
 
-} // namespace acaciacross::systemtests
+std::string JsonNode::string() const { return this->asString().value_or(""); }
+
+double JsonNode::number() const { return this->asNumber().value_or(0.0); }
+
+bool JsonNode::boolean() const { return this->asBoolean().value_or(false); }
+
+} // namespace acaciacross::json
--- a/Source/SystemTests/JsonNode.h
+++ b/Source/Json/JsonNode.h
@@ -1,11 +1,13 @@
-#ifndef ACACIACROSS_SYSTEMTESTS_JSONNODE_H
-#define ACACIACROSS_SYSTEMTESTS_JSONNODE_H
+#ifndef ACACIACROSS_JSON_JSONNODE_H
+#define ACACIACROSS_JSON_JSONNODE_H
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
-namespace acaciacross::systemtests {
+namespace acaciacross::json {
 
 /// A value of a JSON text. Members that are not there read as empty nodes;
 /// those read as "", 0, or an array without elements.
@@ -17,6 +19,14 @@
   JsonNode element(std::size_t Index) const;
   std::size_t size() const;
 
+  bool isObject() const;
+  bool isArray() const;
+  /// Empty when the value is of another type.
+  std::optional<std::string> asString() const;
+  std::optional<std::int64_t> asInteger() const;
+  std::optional<double> asNumber() const;
+  std::optional<bool> asBoolean() const;
+
   std::string string() const;
   double number() const;
   bool boolean() const;
@@ -27,6 +37,6 @@
   const void *Value = nullptr;
 };
 
-} // namespace acaciacross::systemtests
+} // namespace acaciacross::json
 
 #endif
--- /dev/null
+++ b/Source/Node/ControlSide.cpp
@@ -0,0 +1,146 @@
+#include "Node/ControlSide.h"
+
+#include <utility>
+
+namespace acaciacross::node {
+
+namespace {
+
+// Held entries and the phases of a stop are the only things that wait for it.
+constexpr std::chrono::milliseconds TickPeriod{200};
+// The process must have ended before it would be killed.
+constexpr std::chrono::milliseconds ExitMargin{400};
+
+fleet::FleetAgentSettings agentSettings(const NodeSettings &Settings,
+                                        common::RandomSource &Random) {
+  fleet::FleetAgentSettings Chosen;
+  Chosen.Vm = Settings.Vm;
+  Chosen.Run = common::Incarnation(Random.next());
+  Chosen.Callers = Settings.Callers;
+  Chosen.Peers = Settings.Peers;
+  Chosen.FailureDomain = Settings.FailureDomain;
+  Chosen.Seeds = Settings.Seeds;
+  Chosen.SizeWindow = Settings.Repeats.Window;
+  return Chosen;
+}
+
+} // namespace
+
+ControlSide::ControlSide(const NodeSettings &Settings,
+                         const NodeEncodings &Encodings,
+                         const common::Clock &TimeSource,
+                         logging::EventLog &Journal, TrafficThread &Served,
+                         std::function<void()> OnStopped)
+    : Time(TimeSource), Log(Journal), Traffic(Served),
+      Stopped(std::move(OnStopped)), StopLimit(Settings.StopLimit),
+      Random(common::SeededRandom::fromSystem()),
+      Reactor([this] { this->publish(); }),
+      Published(Encodings.items(), TimeSource, Journal),
+      Agent(agentSettings(Settings, this->Random), this->Reactor.events(),
+            this->PauseTime, this->Random, Journal, *this) {}
+
+ControlSide::~ControlSide() { this->stop(); }
+
+void ControlSide::start() {
+  this->Worker = std::thread(
+      [this] { this->Reactor.run(TickPeriod, [this] { this->tick(); }); });
+}
+
+void ControlSide::stop() {
+  if (!this->Worker.joinable())
+    return;
+  this->Reactor.end();
+  this->Worker.join();
+}
+
+void ControlSide::beginStop() {
+  this->Reactor.post([this] {
+    if (this->Sequence.phase() != membership::StopPhase::Running)
+      return;
+    this->StopBeganAt = this->Time.monotonicNow();
+    this->Sequence.begin(this->StopBeganAt);
+    this->Agent.setState(membership::ServingState::Leaving);
+    this->Traffic.beginStop();
+    this->Log.write(logging::LogRecord(common::LogEvent::ProcessStopping)
+                        .number("active", static_cast<std::int64_t>(
+                                              this->Traffic.activeRequests())));
+  });
+}
+
+void ControlSide::addSeeds(std::vector<common::Address> Seeds) {
+  this->Reactor.post([this, Seeds = std::move(Seeds)] {
+    this->Agent.addSeeds(Seeds);
+    this->Log.write(
+        logging::LogRecord(common::LogEvent::SettingsReloaded)
+            .number("seeds", static_cast<std::int64_t>(Seeds.size())));
+  });
+}
+
+void ControlSide::onSnapshot(std::vector<discovery::StoreItem> Items,
+                             std::uint64_t Revision) {
+  this->Reactor.post([this, Items = std::move(Items), Revision] {
+    this->Published.onSnapshot(Items, Revision);
+  });
+}
+
+void ControlSide::onChanges(std::vector<discovery::StoreChange> Changes,
+                            std::uint64_t Revision) {
+  this->Reactor.post([this, Changes = std::move(Changes), Revision] {
+    this->Published.onChanges(Changes, Revision);
+  });
+}
+
+void ControlSide::onUnavailable(const std::string &Problem) {
+  this->Reactor.post(
+      [this, Problem] { this->Published.onUnavailable(Problem); });
+}
+
+void ControlSide::onAvailable() {
+  this->Reactor.post([this] { this->Published.onAvailable(); });
+}
+
+void ControlSide::onHistoryLost() {
+  this->Reactor.post([this] { this->Published.onHistoryLost(); });
+}
+
+void ControlSide::onFleet(const fleet::FleetView &View) {
+  this->Traffic.setFleet(View);
+}
+
+void ControlSide::tick() {
+  this->Published.expire();
+  this->advanceStop();
+}
+
+void ControlSide::advanceStop() {
+  if (this->Sequence.phase() == membership::StopPhase::Running || this->IsOver)
+    return;
+  const common::MonotonicTime Now = this->Time.monotonicNow();
+  const membership::StopPhase Before = this->Sequence.phase();
+  const membership::StopPhase Phase =
+      this->Sequence.advance(Now, this->Traffic.activeRequests());
+  if (Phase == membership::StopPhase::Draining && Before != Phase)
+    this->Traffic.closeToCallers();
+  const bool IsLate = Now - this->StopBeganAt >= this->StopLimit - ExitMargin;
+  if (Phase != membership::StopPhase::Done && !IsLate)
+    return;
+  this->IsOver = true;
+  this->Stopped();
+}
+
+void ControlSide::publish() {
+  if (this->Published.changes() == this->PublishedChanges)
+    return;
+  this->PublishedChanges = this->Published.changes();
+  this->Traffic.setPublished(this->Published.searchers(),
+                             this->Published.table());
+  const bool CanServe =
+      this->Published.hasSnapshot() && this->Published.table() != nullptr;
+  if (!CanServe || this->IsServing)
+    return;
+  this->IsServing = true;
+  if (this->Sequence.phase() == membership::StopPhase::Running)
+    this->Agent.setState(membership::ServingState::Serving);
+}
+
+} // namespace acaciacross::node
--- /dev/null
+++ b/Source/Node/ControlSide.h
@@ -0,0 +1,76 @@
+#ifndef ACACIACROSS_NODE_CONTROLSIDE_H
+#define ACACIACROSS_NODE_CONTROLSIDE_H
+
+#include "Common/BootClock.h"
+#include "Common/SeededRandom.h"
+#include "Control/TaskReactor.h"
+#include "Discovery/PublishedState.h"
+#include "Discovery/StoreListener.h"
+#include "Fleet/FleetAgent.h"
+#include "Membership/StopSequence.h"
+#include "Node/NodeEncodings.h"
+#include "Node/NodeSettings.h"
+#include "Node/TrafficThread.h"
+
+#include <cstdint>
+#include <functional>
+#include <thread>
+
+namespace acaciacross::node {
+
+/// The thread that owns what this VM believes of the store and the fleet, and
+/// the planned stop.
+class ControlSide final : public discovery::StoreListener,
+                          private fleet::FleetViewListener {
+public:
+  /// OnStopped is called on the control thread when a planned stop is complete.
+  /// Throws common::Error (SocketFailed). All references must outlive this.
+  ControlSide(const NodeSettings &Settings, const NodeEncodings &Encodings,
+              const common::Clock &TimeSource, logging::EventLog &Journal,
+              TrafficThread &Served, std::function<void()> OnStopped);
+  ~ControlSide() override;
+  ControlSide(const ControlSide &) = delete;
+  ControlSide &operator=(const ControlSide &) = delete;
+
+  void start();
+  void stop();
+
+  // Thread-safe:
+  void beginStop();
+  void addSeeds(std::vector<common::Address> Seeds);
+  void onSnapshot(std::vector<discovery::StoreItem> Items,
+                  std::uint64_t Revision) override;
+  void onChanges(std::vector<discovery::StoreChange> Changes,
+                 std::uint64_t Revision) override;
+  void onUnavailable(const std::string &Problem) override;
+  void onAvailable() override;
+  void onHistoryLost() override;
+
+private:
+  void onFleet(const fleet::FleetView &View) override;
+  void tick();
+  void advanceStop();
+  /// Passes on what has changed since the last call.
+  void publish();
+
+  const common::Clock &Time;
+  logging::EventLog &Log;
+  TrafficThread &Traffic;
+  std::function<void()> Stopped;
+  std::chrono::milliseconds StopLimit;
+  common::BootClock PauseTime;
+  common::SeededRandom Random;
+  control::TaskReactor Reactor;
+  discovery::PublishedState Published;
+  fleet::FleetAgent Agent;
+  membership::StopSequence Sequence;
+  common::MonotonicTime StopBeganAt;
+  std::uint64_t PublishedChanges = 0;
+  bool IsServing = false;
+  bool IsOver = false;
+  std::thread Worker;
+};
+
+} // namespace acaciacross::node
+
+#endif
--- /dev/null
+++ b/Source/Node/MetricsSource.cpp
@@ -0,0 +1,61 @@
+#include "Node/MetricsSource.h"
+
+#include <set>
+#include <sstream>
+
+namespace acaciacross::node {
+
+namespace {
+
+constexpr int Success = 200;
+
+} // namespace
+
+MetricsSource::MetricsSource(const gateway::ForwardingHandler &Requests,
+                             const gateway::UpstreamPort &Upstreams,
+                             forwarding::ServiceBook &Known,
+                             const logging::EventLog &Journal,
+                             const common::Clock &Clock)
+    : Handler(Requests), Port(Upstreams), Book(Known), Log(Journal),
+      Time(Clock) {}
+
+http::Response MetricsSource::page(const http::Request &) {
+  std::ostringstream Page;
+  this->Handler.counters().write(Page);
+  Page << "# TYPE acaciacross_active_requests gauge\n"
+       << "acaciacross_active_requests " << this->Handler.active() << '\n'
+       << "# TYPE acaciacross_upstream_connections gauge\n"
+       << "acaciacross_upstream_connections " << this->Port.connections()
+       << '\n'
+       << "# TYPE acaciacross_upstream_connections_opened_total counter\n"
+       << "acaciacross_upstream_connections_opened_total "
+       << this->Port.connectionsOpened() << '\n'
+       << "# TYPE acaciacross_routes_version gauge\n"
+       << "acaciacross_routes_version "
+       << (this->Book.table() == nullptr ? 0 : this->Book.table()->version())
+       << '\n'
+       << "# TYPE acaciacross_fleet_vms gauge\n"
+       << "acaciacross_fleet_vms " << this->Book.vmCount() << '\n'
+       << "# TYPE acaciacross_log_lines_dropped_total counter\n"
+       << "acaciacross_log_lines_dropped_total " << this->Log.dropped() << '\n'
+       << "# TYPE acaciacross_repeat_budget_left gauge\n"
+       << "# TYPE acaciacross_searchers gauge\n";
+  std::set<common::ServiceName> Services;
+  for (const auto &[Id, Record] : this->Book.allSearchers())
+    Services.insert(Record->entry().Service);
+  for (const common::ServiceName &Each : Services) {
+    const std::string Label = "{service=\"" + Each.Value + "\"} ";
+    Page << "acaciacross_repeat_budget_left" << Label
+         << this->Book.budget(Each).left(this->Time.monotonicNow(),
+                                         this->Book.vmCount())
+         << "\nacaciacross_searchers" << Label
+         << this->Book.replicas(Each).size() << '\n';
+  }
+  http::Response Reply;
+  Reply.Status = Success;
+  Reply.Headers.add("Content-Type", "text/plain; version=0.0.4");
+  Reply.Body = Page.str();
+  return Reply;
+}
+
+} // namespace acaciacross::node
--- /dev/null
+++ b/Source/Node/NodeEncodings.h
@@ -0,0 +1,30 @@
+#ifndef ACACIACROSS_NODE_NODEENCODINGS_H
+#define ACACIACROSS_NODE_NODEENCODINGS_H
+
+#include "Discovery/ItemDecoder.h"
+#include "Gateway/CallerProtocol.h"
+#include "Gateway/PageSource.h"
+#include "Gateway/SearcherProtocol.h"
+#include "Node/ServingView.h"
+
+#include <memory>
+
+namespace acaciacross::node {
+
+/// The encodings of everything that a VM exchanges with others.
+class NodeEncodings {
+public:
+  virtual ~NodeEncodings() = default;
+
+  virtual const gateway::CallerProtocol &callers() const = 0;
+  virtual const gateway::SearcherProtocol &searchers() const = 0;
+  virtual const discovery::ItemDecoder &items() const = 0;
+  virtual std::unique_ptr<gateway::PageSource>
+  readinessPage(ServingView &View) const = 0;
+  virtual std::unique_ptr<gateway::PageSource>
+  directoryPage(ServingView &View) const = 0;
+};
+
+} // namespace acaciacross::node
+
+#endif
--- /dev/null
+++ b/Source/Node/TrafficThread.cpp
@@ -0,0 +1,89 @@
+#include "Node/TrafficThread.h"
+
+#include <utility>
+
+namespace acaciacross::node {
+
+TrafficThread::TrafficThread(const NodeSettings &Settings,
+                             const NodeEncodings &Encodings,
+                             const common::Clock &TimeSource,
+                             logging::EventLog &Journal)
+    : Time(TimeSource), Loop(TimeSource),
+      Random(common::SeededRandom::fromSystem()), Book(Settings.Repeats),
+      Port(this->Loop, this->Book, Encodings.searchers()),
+      Choice(this->Random), Tools{TimeSource,   this->Book,   this->Port,
+                                  this->Choice, this->Hedges, this->Partials},
+      Requests(this->Loop, this->Tools, this->Admission, Encodings.callers(),
+               Journal),
+      Metrics(this->Requests, this->Port, this->Book, Journal, TimeSource),
+      Readiness(Encodings.readinessPage(*this)),
+      Directory(Encodings.directoryPage(*this)), MetricsPages(this->Metrics),
+      ReadinessPages(*this->Readiness), DirectoryPages(*this->Directory),
+      Callers(this->Loop, Settings.Callers, this->Requests),
+      ReadinessListener(this->Loop, Settings.Readiness, this->ReadinessPages),
+      DirectoryListener(this->Loop, Settings.Directory, this->DirectoryPages),
+      MetricsListener(this->Loop, Settings.Metrics, this->MetricsPages),
+      Advisor(this->Random) {}
+
+TrafficThread::~TrafficThread() { this->stop(); }
+
+void TrafficThread::start() {
+  this->Worker = std::thread([this] { this->Loop.run(); });
+}
+
+void TrafficThread::stop() {
+  if (!this->Worker.joinable())
+    return;
+  this->Loop.stop();
+  this->Worker.join();
+}
+
+void TrafficThread::setPublished(
+    std::vector<forwarding::SearcherEntry> Searchers,
+    std::shared_ptr<const forwarding::RoutingTable> Table) {
+  this->Loop.post(
+      [this, Searchers = std::move(Searchers), Table = std::move(Table)] {
+        this->Book.setSearchers(Searchers);
+        if (Table != nullptr && Table != this->Book.table())
+          this->Book.setTable(Table);
+        this->Port.closeUnlisted();
+      });
+}
+
+void TrafficThread::setFleet(fleet::FleetView View) {
+  this->Loop.post([this, View = std::move(View)] {
+    this->Book.setVmCount(View.VmCount);
+    this->Fleet = View;
+  });
+}
+
+void TrafficThread::beginStop() {
+  this->Loop.post([this] {
+    this->Stopping = true;
+    this->Requests.beginStop();
+  });
+}
+
+void TrafficThread::closeToCallers() {
+  this->Loop.post([this] {
+    this->Callers.stopAccepting();
+    this->Callers.closeIdle();
+  });
+}
+
+std::size_t TrafficThread::activeRequests() const {
+  return this->Requests.active();
+}
+
+bool TrafficThread::isReady() const {
+  return !this->Stopping && this->Book.table() != nullptr &&
+         !this->Book.allSearchers().empty();
+}
+
+std::vector<routing::AddressCandidate>
+TrafficThread::addresses(std::size_t Most) {
+  return this->Advisor.advise(this->Fleet.EntryVms, this->isReady(),
+                              this->Time.monotonicNow(), Most);
+}
+
+} // namespace acaciacross::node
--- /dev/null
+++ b/Source/Node/TrafficThread.h
@@ -0,0 +1,86 @@
+#ifndef ACACIACROSS_NODE_TRAFFICTHREAD_H
+#define ACACIACROSS_NODE_TRAFFICTHREAD_H
+
+#include "Common/Clock.h"
+#include "Common/SeededRandom.h"
+#include "Fleet/FleetView.h"
+#include "Forwarding/LeastDelayChoice.h"
+#include "Forwarding/ReachabilityAdmission.h"
+#include "Forwarding/ServiceBook.h"
+#include "Forwarding/TailHedgeRule.h"
+#include "Forwarding/TargetPartialRule.h"
+#include "Gateway/ForwardingHandler.h"
+#include "Gateway/Listener.h"
+#include "Gateway/PageHandler.h"
+#include "Gateway/UpstreamPort.h"
+#include "Node/MetricsSource.h"
+#include "Node/NodeEncodings.h"
+#include "Node/NodeSettings.h"
+#include "Routing/AddressAdvisor.h"
+
+#include <atomic>
+#include <memory>
+#include <thread>
+#include <vector>
+
+namespace acaciacross::node {
+
+/// The thread that owns all connections of callers and searchers and the state
+/// of all requests.
+class TrafficThread final : private ServingView {
+public:
+  /// Throws common::Error (SocketFailed). All references must outlive this.
+  TrafficThread(const NodeSettings &Settings, const NodeEncodings &Encodings,
+                const common::Clock &TimeSource, logging::EventLog &Journal);
+  ~TrafficThread() override;
+  TrafficThread(const TrafficThread &) = delete;
+  TrafficThread &operator=(const TrafficThread &) = delete;
+
+  void start();
+  /// Ends the thread and waits for it.
+  void stop();
+
+  // Thread-safe:
+  void setPublished(std::vector<forwarding::SearcherEntry> Searchers,
+                    std::shared_ptr<const forwarding::RoutingTable> Table);
+  void setFleet(fleet::FleetView View);
+  /// No longer ready and no longer named; requests are still taken.
+  void beginStop();
+  /// New connections are refused.
+  void closeToCallers();
+  std::size_t activeRequests() const;
+
+private:
+  bool isReady() const override;
+  std::vector<routing::AddressCandidate> addresses(std::size_t Most) override;
+
+  const common::Clock &Time;
+  net::EventLoop Loop;
+  common::SeededRandom Random;
+  forwarding::ServiceBook Book;
+  gateway::UpstreamPort Port;
+  forwarding::LeastDelayChoice Choice;
+  forwarding::TailHedgeRule Hedges;
+  forwarding::TargetPartialRule Partials;
+  forwarding::ReachabilityAdmission Admission;
+  forwarding::ForwardingTools Tools;
+  gateway::ForwardingHandler Requests;
+  MetricsSource Metrics;
+  std::unique_ptr<gateway::PageSource> Readiness;
+  std::unique_ptr<gateway::PageSource> Directory;
+  gateway::PageHandler MetricsPages;
+  gateway::PageHandler ReadinessPages;
+  gateway::PageHandler DirectoryPages;
+  gateway::Listener Callers;
+  gateway::Listener ReadinessListener;
+  gateway::Listener DirectoryListener;
+  gateway::Listener MetricsListener;
+  routing::AddressAdvisor Advisor;
+  fleet::FleetView Fleet;
+  bool Stopping = false;
+  std::thread Worker;
+};
+
+} // namespace acaciacross::node
+
+#endif
--- a/Source/Platform/HttpFetcher.cpp
+++ b/Source/Platform/HttpFetcher.cpp
@@ -4,7 +4,10 @@
 #include <curl/curl.h>
 #include <limits>
 #include <mutex>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <new>
+#include <sys/socket.h>
 
 namespace acaciacross::platform {
 
@@ -24,6 +27,20 @@
   return Length;
 }
 
+// Gives up a connection about 3 s after its last sign of life.
+int setProbes(void *, curl_socket_t Socket, curlsocktype) {
+  const auto Set = [Socket](int Name, int Value) {
+    ::setsockopt(Socket, IPPROTO_TCP, Name, &Value, sizeof Value);
+  };
+  const int On = 1;
+  ::setsockopt(Socket, SOL_SOCKET, SO_KEEPALIVE, &On, sizeof On);
+  Set(TCP_KEEPIDLE, 1);
+  Set(TCP_KEEPINTVL, 1);
+  Set(TCP_KEEPCNT, 2);
+  Set(TCP_USER_TIMEOUT, 2'000);
+  return CURL_SOCKOPT_OK;
+}
+
 void initializeCurl() {
   static std::once_flag Once;
   std::call_once(Once, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
@@ -50,6 +67,9 @@
     curl_easy_setopt(this->Easy, CURLOPT_URL, Url.c_str());
     curl_easy_setopt(this->Easy, CURLOPT_HTTPGET, 1L);
     curl_easy_setopt(this->Easy, CURLOPT_NOSIGNAL, 1L);
+    // A connection that went silent without a reset is found by the probes,
+    // long before a watch that waits would time out.
+    curl_easy_setopt(this->Easy, CURLOPT_SOCKOPTFUNCTION, setProbes);
     // A proxy of the environment is not part of the platform.
     curl_easy_setopt(this->Easy, CURLOPT_PROXY, "");
     curl_easy_setopt(this->Easy, CURLOPT_CONNECTTIMEOUT_MS,
--- /dev/null
+++ b/Source/Programs/PlatformNode/main.cpp
@@ -0,0 +1,120 @@
+#include "Common/Error.h"
+#include "Common/SystemClock.h"
+#include "Logging/EventLog.h"
+#include "Node/ControlSide.h"
+#include "Node/TrafficThread.h"
+#include "Programs/PlatformNode/SettingsFile.h"
+#include "Programs/PlatformNode/Signals.h"
+#include "platform/Encodings.h"
+#include "platform/SettingsDecoder.h"
+#include "platform/StorePoll.h"
+#include "platform/WireNames.h"
+
+#include <gflags/gflags.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <csignal>
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+
+DEFINE_string(settings, "",
+              "settings file; by default the one that the platform names");
+DEFINE_int32(metrics_port, 9464, "port of the metrics page");
+DEFINE_bool(check, false, "check the settings and exit");
+
+namespace {
+
+using namespace acaciacross;
+
+constexpr int SettingsExitStatus = 2;
+// How soon a settings file that changes without a signal is read again.
+constexpr std::chrono::milliseconds SettingsPeriod{1'000};
+
+std::string settingsPath() {
+  if (!FLAGS_settings.empty())
+    return FLAGS_settings;
+  const char *Named = std::getenv(adapter::wire::SettingsVariable);
+  return Named == nullptr ? "" : Named;
+}
+
+node::NodeSettings readSettings(nodeprogram::SettingsFile &File) {
+  return adapter::SettingsDecoder::decode(
+      File.read(), static_cast<std::uint16_t>(FLAGS_metrics_port));
+}
+
+/// New seeds are the only setting that changes while the process runs.
+void reload(nodeprogram::SettingsFile &File, node::ControlSide &Control,
+            logging::EventLog &Log) {
+  try {
+    Control.addSeeds(readSettings(File).Seeds);
+  } catch (const common::Error &Error) {
+    Log.write(logging::LogRecord(common::LogEvent::SettingsRefused)
+                  .text("reason", Error.what()));
+  }
+}
+
+void serve(nodeprogram::Signals &Signals, nodeprogram::SettingsFile &File,
+           const node::NodeSettings &Settings, logging::EventLog &Log) {
+  const common::SystemClock Time;
+  const adapter::Encodings Encodings;
+  std::atomic<bool> IsStopped = false;
+  node::TrafficThread Traffic(Settings, Encodings, Time, Log);
+  node::ControlSide Control(Settings, Encodings, Time, Log, Traffic, [&] {
+    IsStopped = true;
+    Signals.wake();
+  });
+  adapter::StorePoll Store(Settings.Store, Control);
+  Traffic.start();
+  Control.start();
+  Store.start();
+  Log.write(
+      logging::LogRecord(common::LogEvent::ProcessStarted)
+          .text("vm", Settings.Vm.Value)
+          .text("zone", Settings.FailureDomain)
+          .text("callers", Settings.Callers.toString())
+          .number("seeds", static_cast<std::int64_t>(Settings.Seeds.size())));
+  while (!IsStopped) {
+    const int Number = Signals.wait(SettingsPeriod);
+    if (Number == SIGTERM || Number == SIGINT)
+      Control.beginStop();
+    else if (Number == SIGHUP || File.hasChanged())
+      reload(File, Control, Log);
+  }
+  Store.stop();
+  Control.stop();
+  Traffic.stop();
+  Log.write(logging::LogRecord(common::LogEvent::ProcessStopped)
+                .text("vm", Settings.Vm.Value));
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  gflags::ParseCommandLineFlags(&Count, &Arguments, true);
+  const common::SystemClock Time;
+  nodeprogram::Signals Signals;
+  nodeprogram::SettingsFile File(settingsPath());
+  logging::EventLog Log(Time, STDOUT_FILENO);
+  node::NodeSettings Settings;
+  try {
+    Settings = readSettings(File);
+  } catch (const common::Error &Error) {
+    Log.write(logging::LogRecord(common::LogEvent::SettingsRefused)
+                  .text("reason", Error.what()));
+    return SettingsExitStatus;
+  }
+  if (FLAGS_check) {
+    std::cout << "settings of " << Settings.Vm.Value << " are valid\n";
+    return 0;
+  }
+  try {
+    serve(Signals, File, Settings, Log);
+  } catch (const std::exception &Error) {
+    Log.write(logging::LogRecord(common::LogEvent::ProcessStopped)
+                  .text("reason", Error.what()));
+    return 1;
+  }
+  return 0;
+}
--- a/Source/SystemTests/ConfigurationTest.cpp
+++ b/Source/SystemTests/ConfigurationTest.cpp
@@ -20,7 +20,7 @@
 
   // 0 when the VM does not tell.
   static int targetAt(const EntryVm &Vm) {
-    const JsonNode Classes = Vm.status()["classes"];
+    const json::JsonNode Classes = Vm.status()["classes"];
     for (std::size_t I = 0; I < Classes.size(); ++I)
       if (Classes.element(I)["name"].string() == "plots")
         return static_cast<int>(
@@ -35,7 +35,7 @@
   }
 
   static bool hasRefused(const EntryVm &Vm, std::uint64_t Revision) {
-    const JsonNode Entries = JsonNode::parse(
+    const json::JsonNode Entries = json::JsonNode::parse(
         HttpCaller::call("GET", Vm.Callers + "/v1/audit?after=0")
             .Body)["entries"];
     for (std::size_t I = 0; I < Entries.size(); ++I) {
--- a/Source/SystemTests/ConnectionCapTest.cpp
+++ b/Source/SystemTests/ConnectionCapTest.cpp
@@ -13,7 +13,9 @@
     const HttpReply Reply =
         HttpCaller::call("GET", Searcher.Control + "/control/counters");
     EXPECT_EQ(Reply.Status, 200);
-    return JsonNode::parse(Reply.Body)["searchers"].element(0)[Name].number();
+    return json::JsonNode::parse(Reply.Body)["searchers"]
+        .element(0)[Name]
+        .number();
   }
 
   // Starts the replacement before the old VM leaves, so that one VM more than
--- a/Source/SystemTests/Deployment.cpp
+++ b/Source/SystemTests/Deployment.cpp
@@ -121,7 +121,7 @@
       "PUT", this->PlatformAddress + "/control/config/" + Key, Text);
   require(Reply, Key);
   return static_cast<std::uint64_t>(
-      JsonNode::parse(Reply.Body)["revision"].number());
+      json::JsonNode::parse(Reply.Body)["revision"].number());
 }
 
 void Deployment::setPlatformMode(const std::string &Parameters) const {
--- a/Source/SystemTests/DrainTest.cpp
+++ b/Source/SystemTests/DrainTest.cpp
@@ -14,9 +14,10 @@
     const HttpReply Reply =
         HttpCaller::call("GET", Searcher.Control + "/control/counters");
     EXPECT_EQ(Reply.Status, 200);
-    return static_cast<std::uint64_t>(JsonNode::parse(Reply.Body)["searchers"]
-                                          .element(0)["attempts"]
-                                          .number());
+    return static_cast<std::uint64_t>(
+        json::JsonNode::parse(Reply.Body)["searchers"]
+            .element(0)["attempts"]
+            .number());
   }
 
   // The bound of the design page.
--- a/Source/SystemTests/EntryVm.cpp
+++ b/Source/SystemTests/EntryVm.cpp
@@ -21,7 +21,7 @@
 }
 
 std::set<std::string> EntryVm::addresses() const {
-  const JsonNode Named = JsonNode::parse(
+  const json::JsonNode Named = json::JsonNode::parse(
       HttpCaller::call("GET", this->Callers + "/v1/addresses", "", PageTimeout)
           .Body)["addresses"];
   std::set<std::string> Found;
@@ -39,7 +39,7 @@
                                .string(Class)
                                .endObject()
                                .text();
-  return JsonNode::parse(
+  return json::JsonNode::parse(
              HttpCaller::call("POST", this->Callers + "/v1/tickets", Body)
                  .Body)["ticket"]
       .string();
@@ -59,14 +59,14 @@
       "POST", this->Callers + "/v1/query", Json.text(), Deadline + ReplyGrace));
 }
 
-JsonNode EntryVm::status() const {
-  return JsonNode::parse(
+json::JsonNode EntryVm::status() const {
+  return json::JsonNode::parse(
       HttpCaller::call("GET", this->Callers + "/v1/status", "", PageTimeout)
           .Body);
 }
 
 std::set<std::string> EntryVm::fleet() const {
-  const JsonNode Page = this->status();
+  const json::JsonNode Page = this->status();
   std::set<std::string> Found;
   if (Page["state"].string() != "serving")
     return Found;
--- a/Source/SystemTests/EntryVm.h
+++ b/Source/SystemTests/EntryVm.h
@@ -1,9 +1,9 @@
 #ifndef ACACIACROSS_SYSTEMTESTS_ENTRYVM_H
 #define ACACIACROSS_SYSTEMTESTS_ENTRYVM_H
 
-#include "SystemTests/JsonNode.h"
 #include "SystemTests/ProcessHandle.h"
 #include "SystemTests/QueryAnswer.h"
+#include "Json/JsonNode.h"
 
 #include <chrono>
 #include <memory>
@@ -34,7 +34,7 @@
         const std::string &Ticket = "",
         std::chrono::milliseconds Deadline = std::chrono::seconds(2)) const;
 
-  JsonNode status() const;
+  json::JsonNode status() const;
 
   /// Callers' addresses of the serving VMs that its status page shows.
   std::set<std::string> fleet() const;
--- a/Source/SystemTests/QueryAnswer.cpp
+++ b/Source/SystemTests/QueryAnswer.cpp
@@ -1,12 +1,12 @@
 #include "SystemTests/QueryAnswer.h"
 
-#include "SystemTests/JsonNode.h"
+#include "Json/JsonNode.h"
 
 namespace acaciacross::systemtests {
 
 namespace {
 
-std::set<std::uint32_t> shardsOf(const JsonNode &List) {
+std::set<std::uint32_t> shardsOf(const json::JsonNode &List) {
   std::set<std::uint32_t> Shards;
   for (std::size_t I = 0; I < List.size(); ++I)
     Shards.insert(
@@ -17,7 +17,7 @@
 } // namespace
 
 QueryAnswer QueryAnswer::from(const HttpReply &Reply) {
-  const JsonNode Body = JsonNode::parse(Reply.Body);
+  const json::JsonNode Body = json::JsonNode::parse(Reply.Body);
   QueryAnswer Answer;
   Answer.Outcome = Reply.Status == 0 ? "" : Body["outcome"].string();
   Answer.Result = Body["result"].string();
--- a/Source/SystemTests/RecordReader.cpp
+++ b/Source/SystemTests/RecordReader.cpp
@@ -1,7 +1,7 @@
 #include "SystemTests/RecordReader.h"
 
 #include "SystemTests/HttpCaller.h"
-#include "SystemTests/JsonNode.h"
+#include "Json/JsonNode.h"
 
 #include <stdexcept>
 
@@ -15,10 +15,10 @@
       HttpCaller::call("GET", Searcher.Control + "/record" + Filter);
   if (Reply.Status != 200)
     throw std::runtime_error("no record from " + Searcher.Id);
-  const JsonNode List = JsonNode::parse(Reply.Body)["executions"];
+  const json::JsonNode List = json::JsonNode::parse(Reply.Body)["executions"];
   std::vector<RecordedExecution> Found;
   for (std::size_t I = 0; I < List.size(); ++I) {
-    const JsonNode Each = List.element(I);
+    const json::JsonNode Each = List.element(I);
     RecordedExecution Entry;
     Entry.Searcher = Each["searcher"].string();
     Entry.RequestId = Each["request_id"].string();
