--- a/Source/Common/LogEvent.cpp
+++ b/Source/Common/LogEvent.cpp
@@ -24,6 +24,7 @@
     LogEvent::StoreUnavailable,
     LogEvent::StoreAvailable,
     LogEvent::HistoryLost,
+    LogEvent::StoreCallFailed,
     LogEvent::PeerJoined,
     LogEvent::PeerLeaving,
     LogEvent::PeerLost,
@@ -90,6 +91,8 @@
     return "StoreAvailable";
   case LogEvent::HistoryLost:
     return "HistoryLost";
+  case LogEvent::StoreCallFailed:
+    return "StoreCallFailed";
   case LogEvent::PeerJoined:
     return "PeerJoined";
   case LogEvent::PeerLeaving:
--- a/Source/Common/LogEvent.h
+++ b/Source/Common/LogEvent.h
@@ -29,6 +29,7 @@
   StoreUnavailable = 206,
   StoreAvailable = 207,
   HistoryLost = 208,
+  StoreCallFailed = 209,
 
   PeerJoined = 300,
   PeerLeaving = 301,
--- a/Source/Discovery/PublishedState.cpp
+++ b/Source/Discovery/PublishedState.cpp
@@ -43,6 +43,13 @@
   }
 }
 
+void PublishedState::onCallFailed(const std::string &Problem,
+                                  std::chrono::milliseconds Duration) {
+  this->Log.write(logging::LogRecord(common::LogEvent::StoreCallFailed)
+                      .text("reason", Problem)
+                      .milliseconds("took_ms", Duration));
+}
+
 void PublishedState::onUnavailable(const std::string &Problem) {
   this->AwaySince = this->Time.monotonicNow();
   this->Log.write(logging::LogRecord(common::LogEvent::StoreUnavailable)
--- a/Source/Discovery/PublishedState.h
+++ b/Source/Discovery/PublishedState.h
@@ -30,6 +30,8 @@
                   std::uint64_t Revision) override;
   void onChanges(std::vector<StoreChange> Changes,
                  std::uint64_t Revision) override;
+  void onCallFailed(const std::string &Problem,
+                    std::chrono::milliseconds Duration) override;
   void onUnavailable(const std::string &Problem) override;
   void onAvailable() override;
   void onHistoryLost() override;
--- a/Source/Discovery/StoreFollower.cpp
+++ b/Source/Discovery/StoreFollower.cpp
@@ -8,8 +8,10 @@
 
 namespace {
 
-// One waiting call costs as much as a short one; the store allows 30 s.
-constexpr std::chrono::milliseconds WatchTime{20'000};
+// While the store drops its history, a waiting call may never be answered
+// although its connection stands, and what changes must be in effect 3 s after
+// the store is well again. Each call is charged, so it is not shorter.
+constexpr std::chrono::milliseconds WatchTime{2'000};
 // Changes that follow each other within this time come in one answer. It adds
 // to the age of what is known, of which seconds are allowed.
 constexpr std::chrono::milliseconds GatherTime{350};
@@ -21,10 +23,12 @@
 } // namespace
 
 StoreFollower::StoreFollower(StoreListener &Receiver,
+                             const common::Clock &TimeSource,
                              common::RandomSource &RandomNumbers)
-    : Listener(Receiver), Random(RandomNumbers) {}
+    : Listener(Receiver), Time(TimeSource), Random(RandomNumbers) {}
 
 std::chrono::milliseconds StoreFollower::step(StoreReader &Store) {
+  this->CalledAt = this->Time.monotonicNow();
   return this->Known ? this->watch(Store) : this->readAll(Store);
 }
 
@@ -68,6 +72,9 @@
 
 std::chrono::milliseconds StoreFollower::onFailure(const std::string &Problem) {
   ++this->Failures;
+  this->Listener.onCallFailed(
+      Problem, std::chrono::duration_cast<std::chrono::milliseconds>(
+                   this->Time.monotonicNow() - this->CalledAt));
   if (this->Failures >= FailuresUntilAway && !this->IsAway) {
     this->IsAway = true;
     this->Listener.onUnavailable(Problem);
--- a/Source/Discovery/StoreFollower.h
+++ b/Source/Discovery/StoreFollower.h
@@ -1,6 +1,7 @@
 #ifndef ACACIACROSS_DISCOVERY_STOREFOLLOWER_H
 #define ACACIACROSS_DISCOVERY_STOREFOLLOWER_H
 
+#include "Common/Clock.h"
 #include "Common/RandomSource.h"
 #include "Discovery/StoreListener.h"
 #include "Discovery/StoreReader.h"
@@ -16,7 +17,8 @@
 /// close together are taken in one call, and failed calls are spaced out.
 class StoreFollower {
 public:
-  StoreFollower(StoreListener &Receiver, common::RandomSource &RandomNumbers);
+  StoreFollower(StoreListener &Receiver, const common::Clock &TimeSource,
+                common::RandomSource &RandomNumbers);
 
   /// Makes the next call; gives the time to wait before the one after it.
   std::chrono::milliseconds step(StoreReader &Store);
@@ -28,9 +30,11 @@
   void onSuccess();
 
   StoreListener &Listener;
+  const common::Clock &Time;
   common::RandomSource &Random;
   /// Changes up to here are known; empty when everything has to be read.
   std::optional<std::uint64_t> Known;
+  common::MonotonicTime CalledAt;
   unsigned Failures = 0;
   bool IsAway = false;
 };
--- a/Source/Discovery/StoreListener.h
+++ b/Source/Discovery/StoreListener.h
@@ -4,6 +4,7 @@
 #include "Discovery/StoreChange.h"
 #include "Discovery/StoreItem.h"
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -20,6 +21,9 @@
                           std::uint64_t Revision) = 0;
   virtual void onChanges(std::vector<StoreChange> Changes,
                          std::uint64_t Revision) = 0;
+  /// One call failed; it lasted Duration.
+  virtual void onCallFailed(const std::string &Problem,
+                            std::chrono::milliseconds Duration) = 0;
   /// The store does not answer; told once until it does.
   virtual void onUnavailable(const std::string &Problem) = 0;
   virtual void onAvailable() = 0;
--- a/Source/Node/ControlSide.cpp
+++ b/Source/Node/ControlSide.cpp
@@ -90,6 +90,13 @@
   });
 }
 
+void ControlSide::onCallFailed(const std::string &Problem,
+                               std::chrono::milliseconds Duration) {
+  this->Reactor.post([this, Problem, Duration] {
+    this->Published.onCallFailed(Problem, Duration);
+  });
+}
+
 void ControlSide::onUnavailable(const std::string &Problem) {
   this->Reactor.post(
       [this, Problem] { this->Published.onUnavailable(Problem); });
--- a/Source/Programs/PlatformNode/main.cpp
+++ b/Source/Programs/PlatformNode/main.cpp
@@ -65,7 +65,7 @@
     IsStopped = true;
     Signals.wake();
   });
-  adapter::StorePoll Store(Settings.Store, Control);
+  adapter::StorePoll Store(Settings.Store, Control, Time);
   Traffic.start();
   Control.start();
   Store.start();
