UnitTests: decisions, discovery, codecs, parsers and the log of the platform node

Cause: the whole path stood without tests of its own. The test of a pipe that nobody reads found a fault: the log thread wrote more than the pipe had room for and could never be ended (the test did not return within 10 minutes).

--- a/Source/Logging/EventLog.cpp
+++ b/Source/Logging/EventLog.cpp
@@ -3,8 +3,10 @@
 #include <poll.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <chrono>
+#include <climits>
 #include <csignal>
 #include <utility>
 
@@ -110,8 +112,10 @@
       return;
     if (Ready <= 0)
       continue;
-    const ssize_t Written =
-        ::write(this->Number, Batch.data() + Done, Batch.size() - Done);
+    // A pipe that is ready takes this much without blocking, and no more.
+    const std::size_t Length =
+        std::min<std::size_t>(Batch.size() - Done, PIPE_BUF);
+    const ssize_t Written = ::write(this->Number, Batch.data() + Done, Length);
     if (Written < 0 && errno != EAGAIN && errno != EINTR)
       return;
     if (Written > 0)
--- /dev/null
+++ b/Source/UnitTests/Discovery/FakeStore.h
@@ -0,0 +1,44 @@
+#ifndef ACACIACROSS_UNITTESTS_DISCOVERY_FAKESTORE_H
+#define ACACIACROSS_UNITTESTS_DISCOVERY_FAKESTORE_H
+
+#include "Discovery/StoreReader.h"
+
+#include <deque>
+#include <vector>
+
+namespace acaciacross::discovery {
+
+/// Gives scripted answers and records what was asked.
+class FakeStore final : public StoreReader {
+public:
+  StorePage readPage(const std::string &AfterKey) override {
+    this->PagesAfter.push_back(AfterKey);
+    return take(this->Pages);
+  }
+
+  StoreChanges awaitChanges(std::uint64_t AfterRevision,
+                            std::chrono::milliseconds Wait) override {
+    this->WatchesAfter.push_back(AfterRevision);
+    this->LongestWait = std::max(this->LongestWait, Wait);
+    return take(this->Watches);
+  }
+
+  std::deque<StorePage> Pages;
+  std::deque<StoreChanges> Watches;
+  std::vector<std::string> PagesAfter;
+  std::vector<std::uint64_t> WatchesAfter;
+  std::chrono::milliseconds LongestWait{0};
+
+private:
+  template <typename Answer> static Answer take(std::deque<Answer> &Script) {
+    if (Script.empty())
+      return {};
+    Answer Next = Script.front();
+    Script.pop_front();
+    return Next;
+  }
+};
+
+} // namespace acaciacross::discovery
+
+#endif
--- /dev/null
+++ b/Source/UnitTests/Forwarding/GatherExecutionTest.cpp
@@ -0,0 +1,119 @@
+#include "Forwarding/GatherExecution.h"
+
+#include "ExecutionFixture.h"
+
+namespace acaciacross::forwarding {
+
+class GatherExecutionTest : public ExecutionFixture {
+protected:
+  static std::string record(char Letter) { return std::string(16, Letter); }
+
+  void start(std::size_t Shards, double MinCoverage, std::size_t Replicas = 3) {
+    this->list(Shards, Replicas);
+    this->Plan = std::make_unique<GatherExecution>(
+        this->Tools, this->request(gatherRoute(Shards, MinCoverage)), *this);
+    this->Plan->start();
+  }
+
+  void advance(int Milliseconds) {
+    this->Time.advance(std::chrono::milliseconds(Milliseconds));
+    this->Plan->tick();
+  }
+
+  std::unique_ptr<GatherExecution> Plan;
+};
+
+TEST_F(GatherExecutionTest, AllShardsGiveTheGreatestRecordsOfAll) {
+  this->start(2, 1.0);
+  this->Port.answer(0, record('a') + record('d'));
+  EXPECT_FALSE(this->Result);
+  this->Port.answer(1, record('c') + record('b') + "rest");
+  ASSERT_TRUE(this->Result);
+  EXPECT_EQ(this->Result->Kind, AnswerKind::Gathered);
+  EXPECT_EQ(this->Result->Message.Body,
+            record('d') + record('c') + record('b'));
+  EXPECT_EQ(this->Result->MissingShards, 0U);
+  EXPECT_EQ(this->Result->Stamps.size(), 2U);
+}
+
+// A failure is no part of an answer, even with the searcher's proof.
+TEST_F(GatherExecutionTest, FailureWithStampIsNoPart) {
+  this->start(2, 0.5, 1);
+  this->Port.end(0, AttemptEnd::Answered, 500, record('x'), "stamp");
+  this->Port.answer(1, record('b'));
+  ASSERT_TRUE(this->Result);
+  EXPECT_EQ(this->Result->MissingShards, 1U);
+  EXPECT_EQ(this->Result->Message.Body, record('b'));
+  EXPECT_EQ(this->Result->Stamps.size(), 1U);
+}
+
+TEST_F(GatherExecutionTest, MissingShardIsWaitedForUntilTheTargetIsNear) {
+  this->start(4, 0.75, 1);
+  for (std::size_t I = 0; I < 3; ++I)
+    this->Port.answer(I, record('a'));
+  this->advance(90);
+  EXPECT_FALSE(this->Result);
+  this->advance(10);
+  ASSERT_TRUE(this->Result);
+  EXPECT_EQ(this->Result->MissingShards, 1U);
+  EXPECT_EQ(this->Result->Code, common::ResultCode::PartialCoverage);
+}
+
+// Waiting for shards that cannot answer any more only makes the answer late.
+TEST_F(GatherExecutionTest, AnswerComesAtOnceWhenTheOthersAreLost) {
+  this->start(4, 0.75, 1);
+  for (std::size_t I = 0; I < 3; ++I)
+    this->Port.answer(I, record('a'));
+  this->Port.end(3, AttemptEnd::Lost);
+  ASSERT_TRUE(this->Result);
+  EXPECT_EQ(this->Result->MissingShards, 1U);
+}
+
+TEST_F(GatherExecutionTest, TooManyLostShardsFailAtOnce) {
+  this->start(4, 0.75, 1);
+  this->Port.end(0, AttemptEnd::Lost);
+  EXPECT_FALSE(this->Result);
+  this->Port.end(1, AttemptEnd::Lost);
+  ASSERT_TRUE(this->Result);
+  EXPECT_EQ(this->Result->Kind, AnswerKind::Failed);
+}
+
+// An answer that is ready is worth something also when it is late.
+TEST_F(GatherExecutionTest, LateAnswerIsDelivered) {
+  this->start(4, 0.75, 1);
+  this->Port.answer(0, record('a'));
+  this->Port.answer(1, record('a'));
+  this->advance(400);
+  EXPECT_FALSE(this->Result);
+  this->Port.answer(2, record('a'));
+  ASSERT_TRUE(this->Result);
+  EXPECT_EQ(this->Result->Kind, AnswerKind::Gathered);
+}
+
+TEST_F(GatherExecutionTest, TimeLimitWithTooFewShardsIsATimeout) {
+  this->start(4, 0.75, 1);
+  this->Port.answer(0, record('a'));
+  this->advance(1'000);
+  ASSERT_TRUE(this->Result);
+  EXPECT_EQ(this->Result->Message.Status, 504);
+}
+
+TEST_F(GatherExecutionTest, EachSlowShardIsHedgedOnItsOwn) {
+  this->start(3, 1.0);
+  this->Port.answer(0, record('a'));
+  this->advance(41);
+  EXPECT_EQ(this->Port.Attempts.size(), 5U);
+  EXPECT_EQ(this->openAttempts(), 4U);
+}
+
+// Two answers of one shard would make its records count twice.
+TEST_F(GatherExecutionTest, SecondAnswerOfAShardIsNotCounted) {
+  this->start(2, 1.0);
+  this->advance(41);
+  ASSERT_EQ(this->Port.Attempts.size(), 4U);
+  this->Port.answer(0, record('a'));
+  EXPECT_FALSE(this->Port.Attempts[2].IsOpen && this->Port.Attempts[3].IsOpen);
+  EXPECT_FALSE(this->Result);
+}
+
+} // namespace acaciacross::forwarding
--- /dev/null
+++ b/Source/UnitTests/Forwarding/HedgeAndPartialRuleTest.cpp
@@ -0,0 +1,36 @@
+#include "ExecutionFixture.h"
+
+namespace acaciacross::forwarding {
+
+using std::chrono::milliseconds;
+
+class HedgeAndPartialRuleTest : public ExecutionFixture {};
+
+TEST_F(HedgeAndPartialRuleTest, HedgeFollowsTheTailOfTheRoute) {
+  const Route Target = plainRoute(Repeatability::Repeatable);
+  RouteStatistics Statistics;
+  for (int I = 0; I < 100; ++I)
+    Statistics.add(milliseconds(I < 85 ? 10 : 25));
+  const auto Delay = this->Hedges.delay(Target, Statistics);
+  EXPECT_GE(Delay, milliseconds(24));
+  EXPECT_LE(Delay, milliseconds(30));
+}
+
+// A hedge near the target could not help any more.
+TEST_F(HedgeAndPartialRuleTest, HedgeOfSlowRouteStillLeavesTimeForAnAnswer) {
+  RouteStatistics Statistics;
+  for (int I = 0; I < 100; ++I)
+    Statistics.add(milliseconds(500));
+  EXPECT_EQ(
+      this->Hedges.delay(plainRoute(Repeatability::Repeatable), Statistics),
+      milliseconds(40));
+}
+
+TEST_F(HedgeAndPartialRuleTest, AnswerSettlesBeforeTheTargetByTheCallersPath) {
+  const auto Request = this->request(gatherRoute(2, 0.5));
+  const auto Wait = this->Partials.settleAt(*Request) - Request->ArrivedAt;
+  EXPECT_GE(Wait, milliseconds(90));
+  EXPECT_LE(Wait, milliseconds(105));
+}
+
+} // namespace acaciacross::forwarding
--- /dev/null
+++ b/Source/UnitTests/Forwarding/ReplicaRecordTest.cpp
@@ -0,0 +1,82 @@
+#include "Forwarding/ReplicaRecord.h"
+
+#include "TestSupport/ManualClock.h"
+
+#include <gtest/gtest.h>
+
+namespace acaciacross::forwarding {
+
+using std::chrono::milliseconds;
+
+class ReplicaRecordTest : public testing::Test {
+protected:
+  common::MonotonicTime now() const { return this->Time.monotonicNow(); }
+
+  double expectedMs(const ReplicaRecord &Replica) const {
+    return std::chrono::duration<double, std::milli>(
+               Replica.expectedDelay(this->now(), milliseconds(10)))
+        .count();
+  }
+
+  testsupport::ManualClock Time;
+  ReplicaRecord Replica{SearcherEntry()};
+};
+
+// A paused searcher gives no sign but silence; only the first attempts may run
+// into the pause.
+TEST_F(ReplicaRecordTest, OverdueAttemptMakesTheSearcherUnattractive) {
+  this->Replica.onSent(this->now());
+  const double Before = this->expectedMs(this->Replica);
+  this->Time.advance(milliseconds(60));
+  EXPECT_GT(this->expectedMs(this->Replica), 3 * Before);
+}
+
+TEST_F(ReplicaRecordTest, FewSlowRepliesShowASlowSearcher) {
+  for (int I = 0; I < 3; ++I)
+    this->Replica.onAnswered(this->now(), milliseconds(100), milliseconds(10));
+  EXPECT_GT(this->Replica.slowness(this->now()), 5.0);
+}
+
+// Without this a searcher that was slow once would never be tried again.
+TEST_F(ReplicaRecordTest, SlownessFadesWithoutReplies) {
+  for (int I = 0; I < 8; ++I)
+    this->Replica.onAnswered(this->now(), milliseconds(100), milliseconds(10));
+  this->Time.advance(milliseconds(12'000));
+  EXPECT_LT(this->Replica.slowness(this->now()), 1.5);
+}
+
+TEST_F(ReplicaRecordTest, UnreachableSearcherIsLeftAloneForAWhile) {
+  this->Replica.onUnreachable(this->now());
+  EXPECT_FALSE(this->Replica.isReachable(this->now()));
+  this->Time.advance(milliseconds(260));
+  EXPECT_TRUE(this->Replica.isReachable(this->now()));
+  this->Replica.onUnreachable(this->now());
+  this->Time.advance(milliseconds(260));
+  EXPECT_FALSE(this->Replica.isReachable(this->now())) << "the pause grows";
+}
+
+TEST_F(ReplicaRecordTest, LoadOfOtherVmsCountsWhileItIsFresh) {
+  this->Replica.onLoad(this->now(), {2, 4, 2});
+  const double Fresh = this->expectedMs(this->Replica);
+  this->Time.advance(milliseconds(500));
+  EXPECT_GT(Fresh, 2 * this->expectedMs(this->Replica));
+}
+
+// A new process under the same id has none of the faults of the old one.
+TEST_F(ReplicaRecordTest, RestartedSearcherStartsAfresh) {
+  for (int I = 0; I < 8; ++I)
+    this->Replica.onFailed(this->now());
+  SearcherEntry Restarted;
+  Restarted.BornMs = 5;
+  this->Replica.update(Restarted);
+  EXPECT_EQ(this->Replica.failures(this->now()), 0.0);
+}
+
+TEST_F(ReplicaRecordTest, LeavingSearcherIsNotListed) {
+  SearcherEntry Leaving;
+  Leaving.IsDraining = true;
+  this->Replica.update(Leaving);
+  EXPECT_FALSE(this->Replica.isListed());
+}
+
+} // namespace acaciacross::forwarding
--- /dev/null
+++ b/Source/UnitTests/Forwarding/RoutingTableTest.cpp
@@ -0,0 +1,65 @@
+#include "Forwarding/RoutingTable.h"
+
+#include <gtest/gtest.h>
+
+namespace acaciacross::forwarding {
+
+class RoutingTableTest : public testing::Test {
+protected:
+  static Route route(const std::string &Name, const std::string &Host,
+                     const std::string &Prefix) {
+    Route Each;
+    Each.Name = Name;
+    Each.Host = Host;
+    Each.Prefix = Prefix;
+    return Each;
+  }
+
+  std::string nameAt(std::string_view Host, std::string_view Target) const {
+    const Route *Found = this->Table.match(Host, Target);
+    return Found == nullptr ? "" : Found->Name;
+  }
+
+  RoutingTable Table{7,
+                     {route("short", "a.example", "/x/"),
+                      route("long", "a.example", "/x/y/"),
+                      route("all", "b.example", "/")},
+                     {{common::ServiceName("s"), 26}},
+                     CallerLimits()};
+};
+
+TEST_F(RoutingTableTest, LongestPrefixOfTheHostMatches) {
+  EXPECT_EQ(this->nameAt("a.example", "/x/y/z"), "long");
+  EXPECT_EQ(this->nameAt("a.example", "/x/yy/z"), "short");
+  EXPECT_EQ(this->nameAt("b.example", "/x/y/z"), "all");
+}
+
+TEST_F(RoutingTableTest, UnknownHostOrPathHasNoRoute) {
+  EXPECT_EQ(this->nameAt("c.example", "/x/"), "");
+  EXPECT_EQ(this->nameAt("a.example", "/x"), "");
+  EXPECT_EQ(this->nameAt("a.example", "nothing"), "");
+}
+
+TEST_F(RoutingTableTest, QueryAndPortAreNotPartOfTheMatch) {
+  EXPECT_EQ(this->nameAt("A.Example:8080", "/x/1?back=/x/y/"), "short");
+}
+
+TEST_F(RoutingTableTest, OnlyPublishedServicesHaveAConnectionLimit) {
+  ASSERT_NE(this->Table.maxConnections(common::ServiceName("s")), nullptr);
+  EXPECT_EQ(*this->Table.maxConnections(common::ServiceName("s")), 26U);
+  EXPECT_EQ(this->Table.maxConnections(common::ServiceName("t")), nullptr);
+}
+
+// 9 of 10 shards are 0.9, although 0.9 x 10 is not exactly 9 in binary.
+TEST_F(RoutingTableTest, LeastCoverageCountsWholeShards) {
+  GatherRule Rule;
+  Rule.Shards.resize(10);
+  Rule.MinCoverage = 0.9;
+  EXPECT_EQ(Rule.minShards(), 9U);
+  Rule.MinCoverage = 0.89;
+  EXPECT_EQ(Rule.minShards(), 9U);
+  Rule.MinCoverage = 0.0;
+  EXPECT_EQ(Rule.minShards(), 1U);
+}
+
+} // namespace acaciacross::forwarding
--- /dev/null
+++ b/Source/UnitTests/Forwarding/SingleExecutionTest.cpp
@@ -0,0 +1,130 @@
+#include "Forwarding/SingleExecution.h"
+
+#include "ExecutionFixture.h"
+
+namespace acaciacross::forwarding {
+
+class SingleExecutionTest : public ExecutionFixture {
+protected:
+  void start(Repeatability Repeat, std::size_t Replicas = 3) {
+    this->list(1, Replicas);
+    this->Plan = std::make_unique<SingleExecution>(
+        this->Tools, this->request(plainRoute(Repeat)),
+        common::ServiceName("s0"), *this);
+    this->Plan->start();
+  }
+
+  std::unique_ptr<SingleExecution> Plan;
+};
+
+TEST_F(SingleExecutionTest, AnswerOfTheSearcherIsPassedOnUnchanged) {
+  this->start(Repeatability::Repeatable);
+  this->Port.answer(0, "bytes");
+  ASSERT_TRUE(this->Result);
+  EXPECT_EQ(this->Result->Kind, AnswerKind::Upstream);
+  EXPECT_EQ(this->Result->Message.Body, "bytes");
+}
+
+// A second run would book one lot twice.
+TEST_F(SingleExecutionTest, LostAttemptOfUnrepeatableRequestIsNotSentAgain) {
+  this->start(Repeatability::AtMostOnce);
+  this->Port.end(0, AttemptEnd::Lost);
+  ASSERT_TRUE(this->Result);
+  EXPECT_EQ(this->Result->Kind, AnswerKind::Failed);
+  EXPECT_EQ(this->Result->Message.Status, 502);
+  EXPECT_EQ(this->Port.Attempts.size(), 1U);
+}
+
+TEST_F(SingleExecutionTest, UnrepeatableRequestIsNeverHedged) {
+  this->start(Repeatability::AtMostOnce);
+  this->Time.advance(std::chrono::milliseconds(500));
+  this->Plan->tick();
+  EXPECT_EQ(this->Port.Attempts.size(), 1U);
+}
+
+TEST_F(SingleExecutionTest, RejectedUnrepeatableRequestGoesToAnotherSearcher) {
+  this->start(Repeatability::AtMostOnce);
+  this->Port.end(0, AttemptEnd::NotRun, 503);
+  ASSERT_EQ(this->Port.Attempts.size(), 2U);
+  EXPECT_NE(this->Port.Attempts[0].Searcher, this->Port.Attempts[1].Searcher);
+  this->Port.answer(1, "bytes");
+  EXPECT_EQ(this->Result->Kind, AnswerKind::Upstream);
+}
+
+// A refusal promises that the request has not run.
+TEST_F(SingleExecutionTest, RequestRejectedEverywhereIsRefusedWithRetryTime) {
+  this->start(Repeatability::AtMostOnce);
+  this->Port.end(0, AttemptEnd::NotRun, 503);
+  this->Port.end(1, AttemptEnd::NotRun, 503);
+  ASSERT_TRUE(this->Result);
+  EXPECT_EQ(this->Result->Kind, AnswerKind::Refused);
+  EXPECT_EQ(this->Result->Message.Status, 503);
+  EXPECT_TRUE(this->Result->RetryAfter);
+}
+
+// A searcher that answers 503 without saying that it did not run the request
+// may have run it, so 503 must not reach the caller.
+TEST_F(SingleExecutionTest, StampedUnavailableOfSearcherThatRanIsNoRefusal) {
+  this->start(Repeatability::AtMostOnce);
+  this->Port.end(0, AttemptEnd::Answered, 503, "", "stamp");
+  ASSERT_TRUE(this->Result);
+  EXPECT_EQ(this->Result->Kind, AnswerKind::Failed);
+  EXPECT_EQ(this->Result->Message.Status, 502);
+}
+
+TEST_F(SingleExecutionTest, UnreachableSearchersDoNotUseUpTheAttempts) {
+  this->start(Repeatability::AtMostOnce);
+  this->Port.end(0, AttemptEnd::NotSent);
+  this->Port.end(1, AttemptEnd::NotSent);
+  ASSERT_EQ(this->Port.Attempts.size(), 3U);
+  this->Port.answer(2, "bytes");
+  EXPECT_EQ(this->Result->Kind, AnswerKind::Upstream);
+}
+
+TEST_F(SingleExecutionTest, SlowAttemptIsHedgedOnceAtAnotherSearcher) {
+  this->start(Repeatability::Repeatable);
+  this->Time.advance(std::chrono::milliseconds(41));
+  this->Plan->tick();
+  ASSERT_EQ(this->Port.Attempts.size(), 2U);
+  EXPECT_NE(this->Port.Attempts[0].Searcher, this->Port.Attempts[1].Searcher);
+  this->Time.advance(std::chrono::milliseconds(100));
+  this->Plan->tick();
+  EXPECT_EQ(this->Port.Attempts.size(), 2U) << "the route allows two";
+  this->Port.answer(1, "second");
+  EXPECT_EQ(this->Result->Message.Body, "second");
+  EXPECT_FALSE(this->Port.Attempts[0].WasCancelled)
+      << "the searcher may finish and keep its connection";
+}
+
+// Work for a caller that has left is wasted.
+TEST_F(SingleExecutionTest, CancelledRequestStopsItsSearcher) {
+  this->start(Repeatability::Repeatable);
+  this->Plan->cancel();
+  EXPECT_TRUE(this->Port.Attempts[0].WasCancelled);
+  EXPECT_FALSE(this->Result);
+}
+
+TEST_F(SingleExecutionTest, SilentSearcherLeadsToTimeoutAnswerAtTheLimit) {
+  this->start(Repeatability::AtMostOnce);
+  EXPECT_EQ(this->Plan->nextDue(),
+            this->Time.monotonicNow() + std::chrono::milliseconds(1'000));
+  this->Time.advance(std::chrono::milliseconds(1'000));
+  this->Plan->tick();
+  ASSERT_TRUE(this->Result);
+  EXPECT_EQ(this->Result->Message.Status, 504);
+  EXPECT_TRUE(this->Port.Attempts[0].WasCancelled);
+}
+
+// Without this a request would be refused although a connection is about to
+// become free.
+TEST_F(SingleExecutionTest, RequestWithoutRoomWaitsForAConnection) {
+  this->Port.Full = {"s0-a"};
+  this->start(Repeatability::AtMostOnce, 1);
+  EXPECT_TRUE(this->Port.Attempts.empty());
+  ASSERT_TRUE(this->Port.Waiting.contains("s0"));
+  this->Port.Full.clear();
+  this->Plan->onRoom(common::ServiceName("s0"));
+  EXPECT_EQ(this->Port.Attempts.size(), 1U);
+}
+
+} // namespace acaciacross::forwarding
--- /dev/null
+++ b/Source/UnitTests/platform/CodecTest.cpp
@@ -0,0 +1,103 @@
+#include "platform/Base64.h"
+#include "platform/CallerCodec.h"
+#include "platform/SearcherCodec.h"
+
+#include <gtest/gtest.h>
+
+namespace acaciacross::adapter {
+
+class CodecTest : public testing::Test {
+protected:
+  static http::Response response(int Status,
+                                 std::vector<http::Header> Headers) {
+    http::Response Message;
+    Message.Status = Status;
+    for (const http::Header &Each : Headers)
+      Message.Headers.add(Each.Name, Each.Value);
+    return Message;
+  }
+
+  CallerCodec Callers;
+  SearcherCodec Searchers;
+};
+
+TEST_F(CodecTest, RequestToSearcherIsUnchangedButForOwnHeaders) {
+  forwarding::ForwardRequest Request;
+  Request.Message.Method = "POST";
+  Request.Message.Target = "/a//b?x=%2f";
+  Request.Message.Headers.add("Host", "h");
+  Request.Message.Headers.add("X-Request-Id", "r1");
+  Request.Message.Headers.add("X-Request-Deadline", "500");
+  Request.Message.Headers.add("Connection", "keep-alive");
+  Request.Message.Body = "body";
+  forwarding::SearcherEntry Searcher;
+  Searcher.Id = common::SearcherId("i-1");
+  EXPECT_EQ(
+      this->Searchers.encode(Request, Searcher, std::chrono::milliseconds(420)),
+      "POST /a//b?x=%2f HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n"
+      "X-Request-Deadline: 420\r\nX-Expect-Instance: i-1\r\n"
+      "Content-Length: 4\r\n\r\nbody");
+}
+
+TEST_F(CodecTest, ReplyTellsWhetherItRan) {
+  EXPECT_TRUE(this->Searchers.decode(response(503, {{"X-Not-Executed", "1"}}))
+                  .IsNotRun);
+  EXPECT_TRUE(this->Searchers.decode(response(421, {})).IsNotRun);
+  // Without the header a searcher may have run what it answers with 503.
+  EXPECT_FALSE(this->Searchers.decode(response(503, {})).IsNotRun);
+}
+
+TEST_F(CodecTest, ReplyTellsLoadAndIdleTimeout) {
+  const auto Reply =
+      this->Searchers.decode(response(200, {{"X-Server-Load", "3, 1,8"},
+                                            {"Keep-Alive", "timeout=5, max=9"},
+                                            {"X-Server-Stamp", "p"}}));
+  ASSERT_TRUE(Reply.Load);
+  EXPECT_EQ(Reply.Load->Running, 3U);
+  EXPECT_EQ(Reply.Load->Waiting, 1U);
+  EXPECT_EQ(Reply.Load->Slots, 8U);
+  EXPECT_EQ(Reply.IdleTimeout, std::chrono::seconds(5));
+  EXPECT_EQ(Reply.Stamp, "p");
+  EXPECT_FALSE(
+      this->Searchers.decode(response(200, {{"X-Server-Load", "3,,"}})).Load);
+}
+
+TEST_F(CodecTest, UnreadableTimeOfTheCallerIsNoTime) {
+  for (const char *Text : {"", "-5", "abc", "5x", "99999999999999999999"}) {
+    http::Request Request;
+    Request.Headers.add("X-Request-Deadline", Text);
+    EXPECT_FALSE(this->Callers.decode(Request).TimeLeft) << Text;
+  }
+}
+
+TEST_F(CodecTest, GatheredAnswerCarriesProofsAndMissingShards) {
+  forwarding::Answer Answer;
+  Answer.Kind = forwarding::AnswerKind::Gathered;
+  Answer.Message.Status = 200;
+  Answer.Stamps = {"a", "b"};
+  Answer.MissingShards = 1;
+  const http::Response Message = this->Callers.encode(Answer);
+  EXPECT_EQ(*Message.Headers.find("X-Part-Stamps"), "a, b");
+  EXPECT_EQ(*Message.Headers.find("X-Missing-Parts"), "1");
+}
+
+TEST_F(CodecTest, RefusalTellsWhenToAskAgain) {
+  forwarding::Answer Answer;
+  Answer.Kind = forwarding::AnswerKind::Refused;
+  Answer.Code = common::ResultCode::Overloaded;
+  Answer.Message.Status = 503;
+  Answer.RetryAfter = std::chrono::milliseconds(150);
+  const http::Response Message = this->Callers.encode(Answer);
+  EXPECT_EQ(*Message.Headers.find("Retry-After"), "0.150");
+  EXPECT_EQ(Message.Headers.find("X-Server-Stamp"), nullptr);
+}
+
+TEST_F(CodecTest, Base64WithPaddingDecodes) {
+  EXPECT_EQ(decodeBase64("bm9kZS0x"), "node-1");
+  EXPECT_EQ(decodeBase64("YQ=="), "a");
+  EXPECT_EQ(decodeBase64(""), "");
+  EXPECT_FALSE(decodeBase64("YQ="));
+  EXPECT_FALSE(decodeBase64("!!!!"));
+}
+
+} // namespace acaciacross::adapter
--- /dev/null
+++ b/Source/UnitTests/platform/SettingsDecoderTest.cpp
@@ -0,0 +1,76 @@
+#include "platform/SettingsDecoder.h"
+
+#include "Common/Error.h"
+
+#include <gtest/gtest.h>
+
+namespace acaciacross::adapter {
+
+class SettingsDecoderTest : public testing::Test {
+protected:
+  static std::string replaced(std::string Text, const std::string &From,
+                              const std::string &To) {
+    return Text.replace(Text.find(From), From.size(), To);
+  }
+
+  static std::string problemOf(const std::string &Text) {
+    try {
+      SettingsDecoder::decode(Text, 9464);
+    } catch (const common::Error &Error) {
+      EXPECT_EQ(Error.code(), common::ResultCode::SettingInvalid);
+      return Error.what();
+    }
+    return "";
+  }
+
+  const std::string Text = R"(node = "front-1"
+unknown = [1, 2]
+ip = "10.1.0.39"
+zone = "z1"
+internal_ports = [7740, 7755]
+seeds = ["10.1.0.39:8224", "10.2.0.33:8224"]
+[listen]
+front = "10.1.0.39:8226"
+ready = "10.1.0.39:8227"
+directory = "10.1.0.39:8225"
+[bounds]
+grace_s = 6
+retry_budget_ratio = 0.2
+budget_window_s = 10
+budget_min_retries = 58
+[platform]
+address = "10.200.1.7:8229"
+)";
+};
+
+TEST_F(SettingsDecoderTest, FieldsAreTakenAndUnknownOnesPassedOver) {
+  const node::NodeSettings Settings = SettingsDecoder::decode(this->Text, 9464);
+  EXPECT_EQ(Settings.Vm.Value, "front-1");
+  EXPECT_EQ(Settings.Callers.Port, 8226);
+  EXPECT_EQ(Settings.Metrics.toString(), "10.1.0.39:9464");
+  EXPECT_EQ(Settings.Repeats.FixedPerWindow, 58.0);
+  EXPECT_EQ(Settings.Repeats.Window, std::chrono::milliseconds(10'000));
+  EXPECT_EQ(Settings.StopLimit, std::chrono::milliseconds(6'000));
+}
+
+// Seeds name a TCP port that this program does not open; probes need the port
+// that all VMs share.
+TEST_F(SettingsDecoderTest, SeedsAreReachedAtThePeerPort) {
+  const node::NodeSettings Settings = SettingsDecoder::decode(this->Text, 9464);
+  ASSERT_EQ(Settings.Seeds.size(), 2U);
+  EXPECT_EQ(Settings.Seeds[1].toString(), "10.2.0.33:7740");
+}
+
+TEST_F(SettingsDecoderTest, ProblemNamesKeyValueAndWhatIsAllowed) {
+  const std::string Problem =
+      problemOf(replaced(this->Text, "10.1.0.39:8226", "here"));
+  EXPECT_NE(Problem.find("listen.front"), std::string::npos);
+  EXPECT_NE(Problem.find("here"), std::string::npos);
+  EXPECT_NE(Problem.find("allowed"), std::string::npos);
+  EXPECT_NE(problemOf(replaced(this->Text, "grace_s = 6", "grace_s = \"x\""))
+                .find("bounds.grace_s"),
+            std::string::npos);
+  EXPECT_NE(problemOf("not toml = = 1").find("line 1"), std::string::npos);
+}
+
+} // namespace acaciacross::adapter
