Forwarding: avoid silent and rejecting searchers, try lost ones once

Ruled out: the repeat budget alone (a good replica was there for most shards). Change: a lost searcher is tried by one attempt at a time; one that leaves an attempt open for 300 ms and ten usual latencies is avoided; a rejection counts as a failed attempt.

--- a/Source/Forwarding/LeastDelayChoice.cpp
+++ b/Source/Forwarding/LeastDelayChoice.cpp
@@ -22,6 +22,7 @@
   double BestDelay = 0.0;
   for (const std::shared_ptr<ReplicaRecord> &Each : Replicas) {
     if (!Each->isListed() || !Each->isReachable(Now) ||
+        Each->isSilent(Now, Typical) ||
         std::ranges::count(Tried, Each.get()) > 0 || !Port.hasRoom(*Each))
       continue;
     const double Delay =
--- a/Source/Forwarding/ReplicaRecord.cpp
+++ b/Source/Forwarding/ReplicaRecord.cpp
@@ -27,6 +27,11 @@
 constexpr std::chrono::milliseconds FirstBackOff{250};
 constexpr std::chrono::milliseconds MaxBackOff{1'000};
 
+// Searchers stand still for up to a quarter of a second now and then, and a
+// tenth of the attempts lasts several times the usual latency.
+constexpr std::chrono::milliseconds LeastSilence{300};
+constexpr int SilentFactor = 10;
+
 double fade(common::MonotonicTime Since, common::MonotonicTime Now,
             std::chrono::milliseconds Memory) {
   const std::chrono::duration<double> Age = Now - Since;
@@ -88,6 +93,9 @@
 
 void ReplicaRecord::onBusy(common::MonotonicTime Now) {
   this->BusyUntil = Now + BusyTime;
+  // A searcher may reject requests for other reasons than a full queue, which
+  // the next one does not change; for the caller it is a failed attempt.
+  this->onFailed(Now);
 }
 
 void ReplicaRecord::onFailed(common::MonotonicTime Now) {
@@ -99,7 +107,7 @@
 void ReplicaRecord::onUnreachable(common::MonotonicTime Now) {
   this->onFailed(Now);
   // Several attempts that fail together are one observation.
-  if (!this->isReachable(Now))
+  if (Now < this->UnreachableUntil)
     return;
   this->NextBackOff =
       std::clamp(this->NextBackOff * 2, FirstBackOff, MaxBackOff);
@@ -113,7 +121,19 @@
 }
 
 bool ReplicaRecord::isReachable(common::MonotonicTime Now) const {
-  return Now >= this->UnreachableUntil;
+  if (Now < this->UnreachableUntil)
+    return false;
+  const bool IsOnTrial = this->NextBackOff.count() > 0;
+  return !IsOnTrial || this->Outstanding.empty();
+}
+
+bool ReplicaRecord::isSilent(common::MonotonicTime Now,
+                             std::chrono::nanoseconds Typical) const {
+  if (this->Outstanding.empty())
+    return false;
+  const std::chrono::nanoseconds Limit =
+      std::max<std::chrono::nanoseconds>(LeastSilence, SilentFactor * Typical);
+  return Now - *this->Outstanding.begin() > Limit;
 }
 
 double ReplicaRecord::slowness(common::MonotonicTime Now) const {
--- a/Source/Forwarding/ReplicaRecord.h
+++ b/Source/Forwarding/ReplicaRecord.h
@@ -36,8 +36,12 @@
   void onUnreachable(common::MonotonicTime Now);
   void onLoad(common::MonotonicTime Now, const SearcherLoad &Said);
 
-  /// False for a while after it could not be reached.
+  /// False for a while after it could not be reached, and then until the one
+  /// attempt that tries it again has ended.
   bool isReachable(common::MonotonicTime Now) const;
+  /// Whether it leaves attempts unanswered for much longer than a pause lasts.
+  bool isSilent(common::MonotonicTime Now,
+                std::chrono::nanoseconds Typical) const;
   /// Latency that a new attempt may expect; for comparison between replicas.
   std::chrono::nanoseconds
   expectedDelay(common::MonotonicTime Now,
--- a/Source/Forwarding/RequestLeg.cpp
+++ b/Source/Forwarding/RequestLeg.cpp
@@ -160,9 +160,12 @@
 
 bool RequestLeg::canWaitForRoom() const {
   const common::MonotonicTime Now = this->Tools.Time.monotonicNow();
+  const auto Typical =
+      this->Statistics->typical(this->Request->Target->LatencyTarget);
   return std::ranges::any_of(
       this->Tools.Services.replicas(this->Service), [&](const auto &Each) {
         return Each->isListed() && Each->isReachable(Now) &&
+               !Each->isSilent(Now, Typical) &&
                std::ranges::count(this->Tried, Each.get()) == 0;
       });
 }
--- a/Source/UnitTests/Forwarding/ReplicaRecordTest.cpp
+++ b/Source/UnitTests/Forwarding/ReplicaRecordTest.cpp
@@ -55,6 +55,41 @@
   EXPECT_FALSE(this->Replica.isReachable(this->now())) << "the pause grows";
 }
 
+// Otherwise every query waits for a lost shard each time its pause is over.
+TEST_F(ReplicaRecordTest, OnlyOneAttemptTriesAnUnreachableSearcherAgain) {
+  this->Replica.onUnreachable(this->now());
+  this->Time.advance(milliseconds(300));
+  EXPECT_TRUE(this->Replica.isReachable(this->now()));
+  this->Replica.onSent(this->now());
+  EXPECT_FALSE(this->Replica.isReachable(this->now()));
+  this->Replica.onEnded(this->now());
+  this->Replica.onAnswered(this->now(), milliseconds(10), milliseconds(10));
+  this->Replica.onSent(this->now());
+  EXPECT_TRUE(this->Replica.isReachable(this->now()));
+}
+
+// A searcher that went dark keeps its connections open and never answers.
+TEST_F(ReplicaRecordTest, LongUnansweredAttemptMakesTheSearcherSilent) {
+  const common::MonotonicTime SentAt = this->now();
+  this->Replica.onSent(SentAt);
+  this->Time.advance(milliseconds(260));
+  EXPECT_FALSE(this->Replica.isSilent(this->now(), milliseconds(10)));
+  this->Time.advance(milliseconds(60));
+  EXPECT_TRUE(this->Replica.isSilent(this->now(), milliseconds(10)));
+  EXPECT_FALSE(this->Replica.isSilent(this->now(), milliseconds(100)));
+  this->Replica.onEnded(SentAt);
+  EXPECT_FALSE(this->Replica.isSilent(this->now(), milliseconds(10)));
+}
+
+// A searcher that rejects half of its requests must not look idle.
+TEST_F(ReplicaRecordTest, RejectionsMakeTheSearcherUnattractive) {
+  const double Before = this->expectedMs(this->Replica);
+  for (int I = 0; I < 3; ++I)
+    this->Replica.onBusy(this->now());
+  this->Time.advance(milliseconds(200));
+  EXPECT_GT(this->expectedMs(this->Replica), 3 * Before);
+}
+
 TEST_F(ReplicaRecordTest, LoadOfOtherVmsCountsWhileItIsFresh) {
   this->Replica.onLoad(this->now(), {2, 4, 2});
   const double Fresh = this->expectedMs(this->Replica);
