Fleet, Gateway: keep searchers' connection limits after a mass restart

Ruled out: resets while queues are long (none outside of the restart). Change: quick rounds of probes in the first second; the size of the fleet is unknown, and the share one connection, until 350 ms bring no new peer; a searcher that resets a new connection is at its limit for 2 s.

--- a/Source/Fleet/FleetAgent.cpp
+++ b/Source/Fleet/FleetAgent.cpp
@@ -10,6 +10,11 @@
 
 namespace {
 
+// After the start peers are looked for in quick rounds: callers come at once,
+// and what this VM may use of the searchers depends on the size of the fleet.
+constexpr std::chrono::milliseconds QuickPeriod{50};
+constexpr std::chrono::milliseconds QuickTime{1'000};
+
 common::LogEvent eventOf(membership::FleetEventKind Kind) {
   switch (Kind) {
   case membership::FleetEventKind::Joined:
@@ -39,14 +44,21 @@
       Probes(this->Socket, RandomNumbers), Size(this->Settings.SizeWindow) {
   this->addSeeds(this->Settings.Seeds);
   this->prepareRound();
-  const ACE_Time_Value Period(membership::ProbePeriod);
-  if (Events.schedule_timer(this, nullptr, ACE_Time_Value::zero, Period) < 0)
-    throw common::Error(common::ResultCode::InternalError,
-                        "the probe timer could not be scheduled");
+  this->schedule(QuickPeriod);
+  this->QuickUntil = this->Time.monotonicNow() + QuickTime;
 }
 
 FleetAgent::~FleetAgent() { this->reactor()->cancel_timer(this); }
 
+void FleetAgent::schedule(std::chrono::milliseconds Interval) {
+  this->reactor()->cancel_timer(this);
+  const ACE_Time_Value Period(Interval);
+  if (this->reactor()->schedule_timer(this, nullptr, ACE_Time_Value::zero,
+                                      Period) < 0)
+    throw common::Error(common::ResultCode::InternalError,
+                        "the probe timer could not be scheduled");
+}
+
 void FleetAgent::setState(membership::ServingState Changed) {
   this->State = Changed;
   this->prepareRound();
@@ -61,6 +73,11 @@
   const common::MonotonicTime Now = this->Time.monotonicNow();
   if (const auto Length = this->Pauses.tick(Now, this->Time.wallNow()))
     this->endPause(*Length);
+  if (this->QuickUntil && Now >= *this->QuickUntil) {
+    this->QuickUntil.reset();
+    this->schedule(membership::ProbePeriod);
+    return 0;
+  }
   this->Hints.expire(Now);
   this->record(this->Fleet.expire(Now), "probes");
   this->prepareRound();
--- a/Source/Fleet/FleetAgent.h
+++ b/Source/Fleet/FleetAgent.h
@@ -15,6 +15,7 @@
 
 #include <ace/Event_Handler.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,8 @@
   void onAck(const common::Address &From,
              const peering::ProbeAckMessage &Message) override;
 
+  /// Sends a round of probes now and then once per interval.
+  void schedule(std::chrono::milliseconds Interval);
   void endPause(std::chrono::milliseconds Length);
   bool isOwn(const membership::MemberStatus &Sender) const;
   membership::MemberStatus ownStatus() const;
@@ -69,6 +72,8 @@
   membership::Prober Probes;
   membership::Heartbeat Round;
   FleetSizeMemory Size;
+  /// Set while peers are looked for after the start.
+  std::optional<common::MonotonicTime> QuickUntil;
 };
 
 } // namespace acaciacross::fleet
--- a/Source/Fleet/FleetSizeMemory.cpp
+++ b/Source/Fleet/FleetSizeMemory.cpp
@@ -2,10 +2,25 @@
 
 namespace acaciacross::fleet {
 
+namespace {
+
+// A VM that starts hears of its peers over several rounds of probes; until then
+// it would take the part of many. All VMs may start at the same moment. The
+// fleet counts as known when some rounds bring no new peer.
+constexpr std::chrono::milliseconds LearningTime{350};
+
+} // namespace
+
 FleetSizeMemory::FleetSizeMemory(std::chrono::milliseconds Window)
     : Length(Window) {}
 
 void FleetSizeMemory::note(common::MonotonicTime Now, unsigned Size) {
+  if (!this->IsKnown && Size > this->Known) {
+    this->Known = Size;
+    this->GrownAt = Now;
+  }
+  if (Now - this->GrownAt >= LearningTime)
+    this->IsKnown = true;
   while (!this->Sizes.empty() && this->Sizes.back().second <= Size)
     this->Sizes.pop_back();
   this->Sizes.emplace_back(Now, Size);
@@ -15,7 +30,7 @@
   while (this->Sizes.size() > 1 &&
          Now - this->Sizes.front().first > this->Length)
     this->Sizes.pop_front();
-  return this->Sizes.empty() ? 1 : this->Sizes.front().second;
+  return this->IsKnown ? this->Sizes.front().second : Unknown;
 }
 
 } // namespace acaciacross::fleet
--- a/Source/Fleet/FleetSizeMemory.h
+++ b/Source/Fleet/FleetSizeMemory.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <deque>
+#include <limits>
 #include <utility>
 
 namespace acaciacross::fleet {
@@ -13,14 +14,20 @@
 /// count in bounds over a window.
 class FleetSizeMemory {
 public:
+  /// The size until the fleet is known: shares of it are as small as can be.
+  static constexpr unsigned Unknown = std::numeric_limits<unsigned>::max();
+
   explicit FleetSizeMemory(std::chrono::milliseconds Window);
 
   void note(common::MonotonicTime Now, unsigned Size);
-  /// At least 1.
+  /// Unknown after the first note until the size stands for a while.
   unsigned largest(common::MonotonicTime Now);
 
 private:
   std::chrono::milliseconds Length;
+  unsigned Known = 0;
+  common::MonotonicTime GrownAt;
+  bool IsKnown = false;
   /// Sizes that fall with their time.
   std::deque<std::pair<common::MonotonicTime, unsigned>> Sizes;
 };
--- a/Source/Fleet/FleetView.h
+++ b/Source/Fleet/FleetView.h
@@ -12,7 +12,8 @@
   /// This VM first, then the peers that serve.
   std::vector<routing::AddressCandidate> EntryVms;
   /// VMs that may hold connections to searchers or have sent requests in the
-  /// last window of the repeat budget, with this one.
+  /// last window of the repeat budget, with this one; FleetSizeMemory::Unknown
+  /// for a while after the start.
   unsigned VmCount = 1;
 };
 
--- a/Source/Forwarding/ServiceBook.h
+++ b/Source/Forwarding/ServiceBook.h
@@ -8,6 +8,7 @@
 #include "Forwarding/RoutingTable.h"
 #include "Forwarding/SplitDealer.h"
 
+#include <limits>
 #include <map>
 #include <memory>
 #include <span>
@@ -42,7 +43,8 @@
 
 private:
   RepeatBudgetSettings Bounds;
-  unsigned Vms = 1;
+  // Before the fleet is known the shares of this VM are as small as can be.
+  unsigned Vms = std::numeric_limits<unsigned>::max();
   std::shared_ptr<const RoutingTable> Table;
   std::map<common::SearcherId, std::shared_ptr<ReplicaRecord>> Searchers;
   std::unordered_map<common::ServiceName,
--- a/Source/Gateway/ConnectionPool.cpp
+++ b/Source/Gateway/ConnectionPool.cpp
@@ -14,6 +14,9 @@
 // only a connection that was in use just before.
 constexpr std::chrono::milliseconds SureLifetime{1'000};
 
+// Other VMs give up connections that they do not need within a few seconds.
+constexpr std::chrono::milliseconds RejectionTime{2'000};
+
 bool isSure(const IdleConnection &Idle, common::MonotonicTime Now,
             bool IsAtMostOnce) {
   const auto Age = Now - Idle.Since;
@@ -33,7 +36,14 @@
   return this->Busy.size() + this->Idle.size();
 }
 
-bool ConnectionPool::hasIdle() const { return !this->Idle.empty(); }
+bool ConnectionPool::hasRoom(common::MonotonicTime Now,
+                             std::size_t Share) const {
+  if (!this->Idle.empty())
+    return true;
+  const std::size_t Most =
+      Now < this->LimitedUntil ? std::min(Share, this->Limit) : Share;
+  return this->size() < Most;
+}
 
 // The one used last is taken first, so that connections beyond the need time
 // out at the searcher.
@@ -70,6 +80,11 @@
   });
 }
 
+void ConnectionPool::noteRejected(common::MonotonicTime Now) {
+  this->Limit = std::max<std::size_t>(1, this->size());
+  this->LimitedUntil = Now + RejectionTime;
+}
+
 void ConnectionPool::closeIdle() {
   for (const IdleConnection &Each : this->Idle)
     Each.Connection->close();
--- a/Source/Gateway/ConnectionPool.h
+++ b/Source/Gateway/ConnectionPool.h
@@ -19,7 +19,9 @@
   const common::Address &address() const;
   /// Connections with and without a request.
   std::size_t size() const;
-  bool hasIdle() const;
+  /// Whether a request can start now; Share: how many connections this VM may
+  /// hold at most.
+  bool hasRoom(common::MonotonicTime Now, std::size_t Share) const;
 
   /// An idle connection that the searcher will not close in the meantime; null
   /// when there is none. IsAtMostOnce: the request cannot be repeated, so the
@@ -31,6 +33,9 @@
                common::MonotonicTime Now,
                std::optional<std::chrono::seconds> Lifetime);
   void remove(const UpstreamConnection &Connection);
+  /// The searcher closed a new connection instead of answering: it is at its
+  /// limit, and for a while no more than the present ones are tried.
+  void noteRejected(common::MonotonicTime Now);
   /// Closes all idle connections.
   void closeIdle();
 
@@ -38,6 +43,8 @@
   common::Address Address;
   std::set<const UpstreamConnection *> Busy;
   std::vector<IdleConnection> Idle;
+  common::MonotonicTime LimitedUntil;
+  std::size_t Limit = 1;
 };
 
 } // namespace acaciacross::gateway
--- a/Source/Gateway/UpstreamConnection.cpp
+++ b/Source/Gateway/UpstreamConnection.cpp
@@ -66,6 +66,8 @@
 
 bool UpstreamConnection::isClosed() const { return !this->Socket.isOpen(); }
 
+bool UpstreamConnection::hasAnswered() const { return this->Answered; }
+
 void UpstreamConnection::onReady(std::uint32_t Events) {
   const std::shared_ptr<UpstreamConnection> Self = this->shared_from_this();
   if (!this->Connected) {
@@ -133,6 +135,7 @@
       continue;
     }
     http::Response Response = this->Parser.take();
+    this->Answered = true;
     // A searcher may answer before it has read the whole request; the rest must
     // not be taken for another one.
     const bool MayReuse =
--- a/Source/Gateway/UpstreamConnection.h
+++ b/Source/Gateway/UpstreamConnection.h
@@ -31,6 +31,8 @@
 
   bool isConnected() const;
   bool isClosed() const;
+  /// Whether a response was read on it.
+  bool hasAnswered() const;
 
 private:
   void onReady(std::uint32_t Events) override;
@@ -49,6 +51,7 @@
   bool Connected = false;
   /// A request was sent whose response is not complete.
   bool Busy = false;
+  bool Answered = false;
   std::uint32_t Interest = 0;
   std::optional<net::TimerId> ConnectTimer;
 };
--- a/Source/Gateway/UpstreamPort.cpp
+++ b/Source/Gateway/UpstreamPort.cpp
@@ -44,10 +44,10 @@
 
 bool UpstreamPort::hasRoom(const forwarding::ReplicaRecord &Replica) const {
   const auto Found = this->Pools.find(Replica.entry().Id);
-  if (Found == this->Pools.end() || Found->second.hasIdle())
-    return true;
-  return Found->second.size() <
-         ConnectionShare::of(this->Book, Replica.entry().Service);
+  return Found == this->Pools.end() ||
+         Found->second.hasRoom(
+             this->Loop.now(),
+             ConnectionShare::of(this->Book, Replica.entry().Service));
 }
 
 forwarding::AttemptNumber UpstreamPort::start(
@@ -202,6 +202,9 @@
     Attempt.Replica->onFailed(Now);
   else
     Attempt.Replica->onUnreachable(Now);
+  const auto Pool = this->Pools.find(Attempt.Replica->entry().Id);
+  if (WasSent && !Connection.hasAnswered() && Pool != this->Pools.end())
+    Pool->second.noteRejected(Now);
   if (Attempt.Listener != nullptr) {
     forwarding::AttemptResult Result;
     Result.End = WasSent ? AttemptEnd::Lost : AttemptEnd::NotSent;
