--- a/Source/UnitTests/Forwarding/ExecutionFixture.h
+++ b/Source/UnitTests/Forwarding/ExecutionFixture.h
@@ -23,6 +23,8 @@
 /// with a target of 120 ms and a time of 1 s.
 class ExecutionFixture : public testing::Test, public AnswerSink {
 protected:
+  ExecutionFixture() { this->Book.setVmCount(1); }
+
   void list(std::size_t Services, std::size_t ReplicasEach) {
     std::vector<SearcherEntry> Entries;
     for (std::size_t I = 0; I < Services; ++I)
--- a/Source/UnitTests/Forwarding/GatherExecutionTest.cpp
+++ b/Source/UnitTests/Forwarding/GatherExecutionTest.cpp
@@ -51,9 +51,9 @@
   this->start(4, 0.75, 1);
   for (std::size_t I = 0; I < 3; ++I)
     this->Port.answer(I, record('a'));
-  this->advance(90);
+  this->advance(60);
   EXPECT_FALSE(this->Result);
-  this->advance(10);
+  this->advance(36);
   ASSERT_TRUE(this->Result);
   EXPECT_EQ(this->Result->MissingShards, 1U);
   EXPECT_EQ(this->Result->Code, common::ResultCode::PartialCoverage);
