Http: refuse a head that is too large also when it arrives whole

Cause: the limit was looked at only while a head was incomplete, so a large head in one read passed. Change: the size is checked when the head is complete, too.

--- a/Source/Http/MessageParser.cpp
+++ b/Source/Http/MessageParser.cpp
@@ -110,6 +110,11 @@
   if (Self.InValue)
     Self.finishField();
   Self.HeadDone = true;
+  // A head may arrive whole, so its size is looked at here, too.
+  if (Source->nread > Self.MaxHeadBytes) {
+    Self.Fault = ParseProblem::HeadTooLarge;
+    return -1;
+  }
   // Protocol upgrades are not offered, so what follows is an ordinary body.
   Source->upgrade = 0;
   const bool MayHaveBody = Self.takeHead(*Source, std::move(Self.Fields));
