Http: count the parts of a head, set limits at the start of each message

Ruled out: the field nread (set only when the parser returns). Change: target, names and values are counted as they come.

--- a/Source/Gateway/ServerConnection.cpp
+++ b/Source/Gateway/ServerConnection.cpp
@@ -112,6 +112,9 @@
   if (this->isClosed() || this->Answering || this->ClosesAfterOutput)
     return;
   const bool WasStarted = this->Parser.hasStarted();
+  if (!WasStarted)
+    this->Parser.limit(this->Handler.maxHeadBytes(),
+                       this->Handler.maxBodyBytes());
   const std::size_t Used = this->Parser.feed(this->Input);
   this->Input.erase(0, Used);
   if (this->Parser.problem() != http::ParseProblem::None) {
@@ -136,8 +139,7 @@
 }
 
 void ServerConnection::takeRequest() {
-  http::Request Request = this->Parser.take(this->Handler.maxHeadBytes(),
-                                            this->Handler.maxBodyBytes());
+  http::Request Request = this->Parser.take();
   this->SentContinue = false;
   this->Answering = true;
   this->CompleteAt = this->Loop.now();
--- a/Source/Http/MessageParser.cpp
+++ b/Source/Http/MessageParser.cpp
@@ -14,6 +14,7 @@
   http_parser_init(&this->Parser, this->Kind);
   this->Parser.data = this;
   this->HeadBytes = 0;
+  this->PartBytes = 0;
   this->Fields = HeaderList();
   this->FieldName.clear();
   this->FieldValue.clear();
@@ -85,7 +86,7 @@
 int MessageParser::onUrl(http_parser *Source, const char *At,
                          std::size_t Length) {
   of(Source).takeTarget({At, Length});
-  return 0;
+  return of(Source).countHead(Length);
 }
 
 int MessageParser::onField(http_parser *Source, const char *At,
@@ -94,7 +95,7 @@
   if (Self.InValue)
     Self.finishField();
   Self.FieldName.append(At, Length);
-  return 0;
+  return Self.countHead(Length);
 }
 
 int MessageParser::onValue(http_parser *Source, const char *At,
@@ -102,7 +103,7 @@
   MessageParser &Self = of(Source);
   Self.InValue = true;
   Self.FieldValue.append(At, Length);
-  return 0;
+  return Self.countHead(Length);
 }
 
 int MessageParser::onHeadersComplete(http_parser *Source) {
@@ -110,11 +111,6 @@
   if (Self.InValue)
     Self.finishField();
   Self.HeadDone = true;
-  // A head may arrive whole, so its size is looked at here, too.
-  if (Source->nread > Self.MaxHeadBytes) {
-    Self.Fault = ParseProblem::HeadTooLarge;
-    return -1;
-  }
   // Protocol upgrades are not offered, so what follows is an ordinary body.
   Source->upgrade = 0;
   const bool MayHaveBody = Self.takeHead(*Source, std::move(Self.Fields));
@@ -140,6 +136,16 @@
   return 0;
 }
 
+// The parts of a head are counted, since a head that arrives whole in one read
+// is complete before its size could be looked at.
+int MessageParser::countHead(std::size_t Length) {
+  this->PartBytes += Length;
+  if (this->PartBytes <= this->MaxHeadBytes)
+    return 0;
+  this->Fault = ParseProblem::HeadTooLarge;
+  return -1;
+}
+
 // Trailer fields arrive after the head and are not passed on.
 void MessageParser::finishField() {
   if (!this->HeadDone)
--- a/Source/Http/MessageParser.h
+++ b/Source/Http/MessageParser.h
@@ -52,6 +52,8 @@
   static int onBody(http_parser *Source, const char *At, std::size_t Length);
   static int onMessageComplete(http_parser *Source);
 
+  /// Gives 0, or -1 when the head is larger than allowed.
+  int countHead(std::size_t Length);
   void finishField();
 
   http_parser Parser{};
@@ -59,6 +61,7 @@
   std::size_t MaxHeadBytes;
   std::size_t MaxBodyBytes;
   std::size_t HeadBytes = 0;
+  std::size_t PartBytes = 0;
   HeaderList Fields;
   std::string FieldName;
   std::string FieldValue;
--- a/Source/Http/RequestParser.cpp
+++ b/Source/Http/RequestParser.cpp
@@ -7,12 +7,14 @@
 RequestParser::RequestParser(std::size_t MaxHeadBytes, std::size_t MaxBodyBytes)
     : MessageParser(HTTP_REQUEST, MaxHeadBytes, MaxBodyBytes) {}
 
-Request RequestParser::take(std::size_t MaxHeadBytes,
-                            std::size_t MaxBodyBytes) {
+void RequestParser::limit(std::size_t MaxHeadBytes, std::size_t MaxBodyBytes) {
+  this->setLimits(MaxHeadBytes, MaxBodyBytes);
+}
+
+Request RequestParser::take() {
   Request Taken = std::move(this->Message);
   this->Message = Request();
   this->restart();
-  this->setLimits(MaxHeadBytes, MaxBodyBytes);
   return Taken;
 }
 
--- a/Source/Http/RequestParser.h
+++ b/Source/Http/RequestParser.h
@@ -15,9 +15,10 @@
   /// Limits in bytes; larger messages are a problem.
   RequestParser(std::size_t MaxHeadBytes, std::size_t MaxBodyBytes);
 
-  /// The complete request; the parser is then ready for the next one, with
-  /// these limits.
-  Request take(std::size_t MaxHeadBytes, std::size_t MaxBodyBytes);
+  /// Limits in bytes from now on; between two requests.
+  void limit(std::size_t MaxHeadBytes, std::size_t MaxBodyBytes);
+  /// The complete request; the parser is then ready for the next one.
+  Request take();
 
   /// Whether the caller waits for leave to send the body.
   bool expectsContinue() const;
--- a/Source/UnitTests/Http/MessageParserTest.cpp
+++ b/Source/UnitTests/Http/MessageParserTest.cpp
@@ -18,7 +18,7 @@
   for (const char Each : Bytes)
     EXPECT_EQ(this->Requests.feed({&Each, 1}), 1U);
   ASSERT_TRUE(this->Requests.isComplete());
-  const Request Whole = this->Requests.take(1'024, 64);
+  const Request Whole = this->Requests.take();
   EXPECT_EQ(Whole.Method, "POST");
   EXPECT_EQ(Whole.Target, "/a/b?c=%20d");
   EXPECT_EQ(Whole.Body, "xyz");
@@ -29,7 +29,7 @@
   this->Requests.feed("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
                       "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n");
   ASSERT_TRUE(this->Requests.isComplete());
-  EXPECT_EQ(this->Requests.take(1'024, 64).Body, "abc");
+  EXPECT_EQ(this->Requests.take().Body, "abc");
 }
 
 // The bytes of the next request must not be taken for a part of this one.
--- a/Source/UnitTests/platform/NodeTrafficTest.cpp
+++ b/Source/UnitTests/platform/NodeTrafficTest.cpp
@@ -98,6 +98,15 @@
     View.EntryVms = {{this->Settings.Vm, this->Settings.Callers, "z1",
                       this->Time.monotonicNow()}};
     this->Thread->setFleet(View);
+    // The thread takes both over in its own time.
+    while (!has(this->metrics(), "acaciacross_routes_version 1\n"))
+      std::this_thread::sleep_for(milliseconds(1));
+  }
+
+  std::string metrics() const {
+    frontend::RawCaller Caller(this->Settings.Metrics);
+    Caller.send("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+    return Caller.receive();
   }
 
   std::string ask(const std::string &Line, const std::string &Body = "") {
@@ -250,7 +259,8 @@
 
 TEST_F(NodeTrafficTest, OversizedMessagesAreRefusedWithTheirStatus) {
   this->publish();
-  EXPECT_TRUE(has(this->ask("GET /plain/" + std::string(3'000, 'x')), "431"));
+  const std::string Large = this->ask("GET /plain/" + std::string(3'000, 'x'));
+  EXPECT_TRUE(has(Large, "431")) << Large;
   EXPECT_TRUE(has(this->ask("POST /plain/x", std::string(1'500, 'x')), "413"));
   EXPECT_TRUE(has(this->ask("GARBAGE"), "400"));
 }
@@ -292,9 +302,7 @@
       "p", [](std::size_t, const std::string &) { return answer("bytes"); });
   this->publish();
   this->ask("GET /safe/x");
-  frontend::RawCaller Caller(this->Settings.Metrics);
-  Caller.send("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
-  const std::string Page = Caller.receive();
+  const std::string Page = this->metrics();
   EXPECT_TRUE(has(Page, "acaciacross_answers_total{route=\"/safe/\","
                         "kind=\"upstream\",result=\"Ok\"} 1"))
       << Page;
