Fleet, Discovery: two readers of the store, the others follow their peers

Ruled out: longer watches (a silent one held an old version), stale reads. Change: the two VMs that rank highest read the store; others pull changes from a peer that knows more, and read themselves when they hear of no answer younger than 2.1 s. Changes carry their revision, so an older one never undoes a newer.

--- a/Source/Discovery/PublishedState.cpp
+++ b/Source/Discovery/PublishedState.cpp
@@ -10,6 +10,9 @@
 // A searcher that lives registers again within 2 s of the store's return, and
 // its entry takes a moment to arrive here.
 constexpr std::chrono::milliseconds ReturnTime{2'200};
+// Several times the keys of a deployment; removed ones are kept for peers that
+// have not heard of their removal.
+constexpr std::size_t MaxRemembered = 4'000;
 
 } // namespace
 
@@ -23,19 +26,28 @@
   std::set<std::string> Present;
   for (const StoreItem &Each : Items) {
     Present.insert(Each.Key);
-    this->apply(Each);
+    if (this->remember({Each, false}))
+      this->apply(Each);
   }
   std::vector<std::string> Missing;
-  for (const auto &[Key, Known] : this->Entries)
-    if (!Present.contains(Key) && Known.Revision <= Revision)
+  for (const auto &[Key, Change] : this->Latest)
+    if (!Change.IsRemoval && !Present.contains(Key) &&
+        Change.Item.Revision <= Revision)
       Missing.push_back(Key);
-  for (const std::string &Key : Missing)
+  for (const std::string &Key : Missing) {
+    this->remember({{Key, "", Revision}, true});
     this->remove(Key);
+  }
+  this->Known = std::max(this->Known, Revision);
   this->Complete = true;
 }
 
-void PublishedState::onChanges(std::vector<StoreChange> Batch, std::uint64_t) {
+void PublishedState::onChanges(std::vector<StoreChange> Batch,
+                               std::uint64_t Revision) {
+  this->Known = std::max(this->Known, Revision);
   for (const StoreChange &Each : Batch) {
+    if (!this->remember(Each))
+      continue;
     if (Each.IsRemoval)
       this->remove(Each.Item.Key);
     else
@@ -43,6 +55,10 @@
   }
 }
 
+void PublishedState::onAnswered() {
+  this->AnsweredAt = this->Time.monotonicNow();
+}
+
 void PublishedState::onCallFailed(const std::string &Problem,
                                   std::chrono::milliseconds Duration) {
   this->Log.write(logging::LogRecord(common::LogEvent::StoreCallFailed)
@@ -94,10 +110,56 @@
   return this->Table;
 }
 
+std::uint64_t PublishedState::revision() const { return this->Known; }
+
+std::vector<StoreChange>
+PublishedState::changesAfter(std::uint64_t Revision) const {
+  std::vector<StoreChange> After;
+  if (Revision < this->ForgottenUpTo)
+    return After;
+  for (const auto &[Key, Change] : this->Latest)
+    if (Change.Item.Revision > Revision)
+      After.push_back(Change);
+  std::ranges::sort(After, {}, [](const StoreChange &Change) {
+    return Change.Item.Revision;
+  });
+  return After;
+}
+
 std::uint64_t PublishedState::changes() const { return this->Changes; }
 
 bool PublishedState::hasSnapshot() const { return this->Complete; }
 
+// Changes may come from the store and from peers, so an older one can follow a
+// newer one; it must not bring back what was removed.
+bool PublishedState::remember(const StoreChange &Change) {
+  const auto [Place, IsNew] = this->Latest.try_emplace(Change.Item.Key, Change);
+  if (IsNew) {
+    this->forgetOldRemovals();
+    return true;
+  }
+  if (Place->second.Item.Revision >= Change.Item.Revision)
+    return false;
+  Place->second = Change;
+  return true;
+}
+
+void PublishedState::forgetOldRemovals() {
+  if (this->Latest.size() <= MaxRemembered)
+    return;
+  std::uint64_t Newest = 0;
+  for (const auto &[Key, Change] : this->Latest)
+    if (Change.IsRemoval)
+      Newest = std::max(Newest, Change.Item.Revision);
+  std::erase_if(this->Latest,
+                [](const auto &Each) { return Each.second.IsRemoval; });
+  this->ForgottenUpTo = std::max(this->ForgottenUpTo, Newest);
+}
+
+std::optional<common::MonotonicTime> PublishedState::answeredAt() const {
+  return this->AnsweredAt;
+}
+
 void PublishedState::apply(const StoreItem &Item) {
   PublishedItem Said = this->Decoder.decode(Item);
   if (!Said.Problem.empty()) {
@@ -118,9 +180,6 @@
 void PublishedState::takeSearcher(const StoreItem &Item,
                                   forwarding::SearcherEntry Entry) {
   Listed &Known = this->Entries[Item.Key];
-  if (Known.Revision > Item.Revision)
-    return;
-  Known.Revision = Item.Revision;
   Known.HeldUntil.reset();
   if (Known.Entry == Entry)
     return;
--- a/Source/Discovery/PublishedState.h
+++ b/Source/Discovery/PublishedState.h
@@ -30,6 +30,7 @@
                   std::uint64_t Revision) override;
   void onChanges(std::vector<StoreChange> Changes,
                  std::uint64_t Revision) override;
+  void onAnswered() override;
   void onCallFailed(const std::string &Problem,
                     std::chrono::milliseconds Duration) override;
   void onUnavailable(const std::string &Problem) override;
@@ -42,18 +43,28 @@
   std::vector<forwarding::SearcherEntry> searchers() const;
   /// Null until a version is known.
   const std::shared_ptr<const forwarding::RoutingTable> &table() const;
-  /// Rises with each change of what the two functions above give.
+  /// Everything up to this revision of the store is known.
+  std::uint64_t revision() const;
+  /// The last change of each key after that revision, oldest first; empty when
+  /// removals since then may have been forgotten.
+  std::vector<StoreChange> changesAfter(std::uint64_t Revision) const;
+  /// Rises with each change of what searchers and table give.
   std::uint64_t changes() const;
   bool hasSnapshot() const;
+  /// When the store last answered this VM; empty when it never did.
+  std::optional<common::MonotonicTime> answeredAt() const;
 
 private:
   struct Listed {
     forwarding::SearcherEntry Entry;
-    std::uint64_t Revision = 0;
     /// Set for an entry that is gone but may come back.
     std::optional<common::MonotonicTime> HeldUntil;
   };
 
+  /// Keeps the change for peers; false for one that is older than what is
+  /// known of its key.
+  bool remember(const StoreChange &Change);
+  void forgetOldRemovals();
   void apply(const StoreItem &Item);
   void takeSearcher(const StoreItem &Item, forwarding::SearcherEntry Entry);
   void takeTable(std::shared_ptr<const forwarding::RoutingTable> Table);
@@ -65,7 +76,13 @@
   logging::EventLog &Log;
   std::map<std::string, Listed> Entries;
   std::shared_ptr<const forwarding::RoutingTable> Table;
+  /// The last change of each key, removals included.
+  std::map<std::string, StoreChange> Latest;
+  std::uint64_t Known = 0;
+  /// Removals up to here may have been forgotten.
+  std::uint64_t ForgottenUpTo = 0;
   std::optional<common::MonotonicTime> AwaySince;
+  std::optional<common::MonotonicTime> AnsweredAt;
   common::MonotonicTime HoldUntil;
   std::uint64_t Changes = 0;
   bool Complete = false;
--- a/Source/Discovery/StoreFollower.cpp
+++ b/Source/Discovery/StoreFollower.cpp
@@ -11,7 +11,7 @@
 // While the store drops its history, a waiting call may never be answered
 // although its connection stands, and what changes must be in effect 3 s after
 // the store is well again. Each call is charged, so it is not shorter.
-constexpr std::chrono::milliseconds WatchTime{2'000};
+constexpr std::chrono::milliseconds WatchTime{1'500};
 // Changes that follow each other within this time come in one answer. It adds
 // to the age of what is known, of which seconds are allowed.
 constexpr std::chrono::milliseconds GatherTime{350};
@@ -27,7 +27,10 @@
                              common::RandomSource &RandomNumbers)
     : Listener(Receiver), Time(TimeSource), Random(RandomNumbers) {}
 
-std::chrono::milliseconds StoreFollower::step(StoreReader &Store) {
+std::chrono::milliseconds StoreFollower::step(StoreReader &Store,
+                                              std::uint64_t KnownElsewhere) {
+  if (this->Known)
+    this->Known = std::max(*this->Known, KnownElsewhere);
   this->CalledAt = this->Time.monotonicNow();
   return this->Known ? this->watch(Store) : this->readAll(Store);
 }
@@ -88,6 +91,7 @@
 
 void StoreFollower::onSuccess() {
   this->Failures = 0;
+  this->Listener.onAnswered();
   if (std::exchange(this->IsAway, false))
     this->Listener.onAvailable();
 }
--- a/Source/Discovery/StoreFollower.h
+++ b/Source/Discovery/StoreFollower.h
@@ -21,7 +21,9 @@
                 common::RandomSource &RandomNumbers);
 
   /// Makes the next call; gives the time to wait before the one after it.
-  std::chrono::milliseconds step(StoreReader &Store);
+  /// KnownElsewhere: changes up to this revision have come from peers.
+  std::chrono::milliseconds step(StoreReader &Store,
+                                 std::uint64_t KnownElsewhere);
 
 private:
   std::chrono::milliseconds readAll(StoreReader &Store);
--- a/Source/Discovery/StoreListener.h
+++ b/Source/Discovery/StoreListener.h
@@ -21,6 +21,8 @@
                           std::uint64_t Revision) = 0;
   virtual void onChanges(std::vector<StoreChange> Changes,
                          std::uint64_t Revision) = 0;
+  /// The store answered a call.
+  virtual void onAnswered() = 0;
   /// One call failed; it lasted Duration.
   virtual void onCallFailed(const std::string &Problem,
                             std::chrono::milliseconds Duration) = 0;
--- /dev/null
+++ b/Source/Discovery/StoreSwitch.h
@@ -0,0 +1,19 @@
+#ifndef ACACIACROSS_DISCOVERY_STORESWITCH_H
+#define ACACIACROSS_DISCOVERY_STORESWITCH_H
+
+#include <cstdint>
+
+namespace acaciacross::discovery {
+
+/// Turns the reading of the store on and off. Thread-safe.
+class StoreSwitch {
+public:
+  virtual ~StoreSwitch() = default;
+
+  /// KnownUpTo: changes up to this revision are known from peers.
+  virtual void setReading(bool IsReading, std::uint64_t KnownUpTo) = 0;
+};
+
+} // namespace acaciacross::discovery
+
+#endif
--- /dev/null
+++ b/Source/Fleet/ChangeRelay.h
@@ -0,0 +1,45 @@
+#ifndef ACACIACROSS_FLEET_CHANGERELAY_H
+#define ACACIACROSS_FLEET_CHANGERELAY_H
+
+#include "Common/Clock.h"
+#include "Discovery/PublishedState.h"
+#include "Logging/EventLog.h"
+#include "Membership/MemberStatus.h"
+#include "Peering/ConfigurationSource.h"
+#include "Peering/PullListener.h"
+#include "Peering/TransferClient.h"
+#include "Peering/TransferServer.h"
+
+namespace acaciacross::fleet {
+
+/// Passes on what the store published: hands it to peers that ask, and asks
+/// peers that know more. Lives on the control thread.
+class ChangeRelay final : private peering::ConfigurationSource,
+                          private peering::PullListener {
+public:
+  /// Throws common::Error (SocketFailed). All references must outlive this.
+  ChangeRelay(const common::Address &Local, ACE_Reactor &Events,
+              const common::Clock &TimeSource,
+              discovery::PublishedState &Shared, logging::EventLog &Journal);
+
+  /// A peer said what it knows.
+  void onPeer(const common::Address &Peer,
+              const membership::MemberStatus &Status);
+
+private:
+  std::vector<configuration::ConfigurationChange>
+  changesFor(const peering::ConfigurationPullMessage &Pull) override;
+  void onChanges(const common::Address &From,
+                 const peering::ConfigurationChangesMessage &Message) override;
+  void onPullFailed(const common::Address &From) override;
+
+  discovery::PublishedState &Published;
+  logging::EventLog &Log;
+  peering::TransferServer Server;
+  peering::TransferClient Client;
+  bool IsPulling = false;
+};
+
+} // namespace acaciacross::fleet
+
+#endif
--- a/Source/Fleet/FleetAgent.cpp
+++ b/Source/Fleet/FleetAgent.cpp
@@ -36,9 +36,10 @@
 FleetAgent::FleetAgent(FleetAgentSettings Identity, ACE_Reactor &Events,
                        const common::Clock &PauseTime,
                        common::RandomSource &RandomNumbers,
-                       logging::EventLog &Journal, FleetViewListener &Receiver)
+                       logging::EventLog &Journal, FleetViewListener &Receiver,
+                       const FleetFacts &Told)
     : ACE_Event_Handler(&Events), Settings(std::move(Identity)),
-      Time(PauseTime), Log(Journal), Listener(Receiver),
+      Time(PauseTime), Log(Journal), Listener(Receiver), Facts(Told),
       Fleet(this->Settings.Vm), Hints(this->Settings.Peers),
       Socket(this->Settings.Peers, Events, *this, PauseTime),
       Probes(this->Socket, RandomNumbers), Size(this->Settings.SizeWindow) {
@@ -115,6 +116,7 @@
     return;
   this->record(this->Fleet.applyAck(Sender, From, *SentAt),
                "acknowledgement of " + Sender.Vm.Value);
+  this->Listener.onPeer(From, Sender, *SentAt);
   this->applyContent(From, Message.Content);
 }
 
@@ -137,6 +139,8 @@
   Status.State = this->State;
   Status.Callers = this->Settings.Callers;
   Status.FailureDomain = this->Settings.FailureDomain;
+  Status.InEffect = common::Revision(this->Facts.knownRevision());
+  Status.ServiceAnswerAge = this->Facts.answerAge();
   return Status;
 }
 
--- a/Source/Fleet/FleetAgent.h
+++ b/Source/Fleet/FleetAgent.h
@@ -4,6 +4,7 @@
 #include "Common/Clock.h"
 #include "Common/RandomSource.h"
 #include "Fleet/FleetAgentSettings.h"
+#include "Fleet/FleetFacts.h"
 #include "Fleet/FleetSizeMemory.h"
 #include "Fleet/FleetViewListener.h"
 #include "Logging/EventLog.h"
@@ -31,7 +32,7 @@
   FleetAgent(FleetAgentSettings Identity, ACE_Reactor &Events,
              const common::Clock &PauseTime,
              common::RandomSource &RandomNumbers, logging::EventLog &Journal,
-             FleetViewListener &Receiver);
+             FleetViewListener &Receiver, const FleetFacts &Told);
   ~FleetAgent() override;
   FleetAgent(const FleetAgent &) = delete;
   FleetAgent &operator=(const FleetAgent &) = delete;
@@ -63,6 +64,7 @@
   const common::Clock &Time;
   logging::EventLog &Log;
   FleetViewListener &Listener;
+  const FleetFacts &Facts;
   membership::ServingState State = membership::ServingState::Joining;
   membership::FleetTable Fleet;
   membership::AddressHints Hints;
--- a/Source/Fleet/FleetViewListener.h
+++ b/Source/Fleet/FleetViewListener.h
@@ -1,7 +1,10 @@
 #ifndef ACACIACROSS_FLEET_FLEETVIEWLISTENER_H
 #define ACACIACROSS_FLEET_FLEETVIEWLISTENER_H
 
+#include "Common/Address.h"
+#include "Common/Time.h"
 #include "Fleet/FleetView.h"
+#include "Membership/MemberStatus.h"
 
 namespace acaciacross::fleet {
 
@@ -11,6 +14,10 @@
   virtual ~FleetViewListener() = default;
 
   virtual void onFleet(const FleetView &View) = 0;
+  /// A peer acknowledged a probe that was sent at SentAt.
+  virtual void onPeer(const common::Address &Peer,
+                      const membership::MemberStatus &Status,
+                      common::MonotonicTime SentAt) = 0;
 };
 
 } // namespace acaciacross::fleet
--- a/Source/Node/ControlSide.cpp
+++ b/Source/Node/ControlSide.cpp
@@ -1,5 +1,7 @@
 #include "Node/ControlSide.h"
 
+#include "Configuration/ReaderElection.h"
+
 #include <utility>
 
 namespace acaciacross::node {
@@ -36,12 +38,15 @@
       Random(common::SeededRandom::fromSystem()),
       Reactor([this] { this->publish(); }),
       Published(Encodings.items(), TimeSource, Journal),
+      Relay(Settings.Peers, this->Reactor.events(), TimeSource, this->Published,
+            Journal),
       Agent(agentSettings(Settings, this->Random), this->Reactor.events(),
-            this->PauseTime, this->Random, Journal, *this) {}
+            this->PauseTime, this->Random, Journal, *this, *this) {}
 
 ControlSide::~ControlSide() { this->stop(); }
 
-void ControlSide::start() {
+void ControlSide::start(discovery::StoreSwitch &Store) {
+  this->Reading = &Store;
   this->Worker = std::thread(
       [this] { this->Reactor.run(TickPeriod, [this] { this->tick(); }); });
 }
@@ -90,6 +95,10 @@
   });
 }
 
+void ControlSide::onAnswered() {
+  this->Reactor.post([this] { this->Published.onAnswered(); });
+}
+
 void ControlSide::onCallFailed(const std::string &Problem,
                                std::chrono::milliseconds Duration) {
   this->Reactor.post([this, Problem, Duration] {
@@ -112,6 +121,45 @@
 
 void ControlSide::onFleet(const fleet::FleetView &View) {
   this->Traffic.setFleet(View);
+  const common::MonotonicTime Now = this->Time.monotonicNow();
+  if (const auto At = this->Published.answeredAt())
+    this->Duty.noteAnswer(*At);
+  const bool MustRead = this->Duty.mustRead(Now, this->isElected(View),
+                                            this->Published.hasSnapshot());
+  this->Reading->setReading(MustRead, this->Published.revision());
+  if (MustRead == this->IsReading)
+    return;
+  this->IsReading = MustRead;
+  this->Log.write(logging::LogRecord(common::LogEvent::ReaderChanged)
+                      .flag("reads", MustRead)
+                      .milliseconds("answer_age_ms", this->answerAge()));
+}
+
+void ControlSide::onPeer(const common::Address &Peer,
+                         const membership::MemberStatus &Status,
+                         common::MonotonicTime SentAt) {
+  this->Duty.noteAnswer(SentAt - Status.ServiceAnswerAge);
+  this->Relay.onPeer(Peer, Status);
+}
+
+std::uint64_t ControlSide::knownRevision() const {
+  return this->Published.revision();
+}
+
+std::chrono::milliseconds ControlSide::answerAge() const {
+  return this->Duty.answerAge(this->Time.monotonicNow());
+}
+
+// One election for the whole fleet: a VM that hears of no fresh answer reads
+// the store itself, so readers in each failure domain are not needed.
+bool ControlSide::isElected(const fleet::FleetView &View) const {
+  if (!this->IsServing)
+    return false;
+  std::vector<configuration::ReaderCandidate> Live;
+  for (const routing::AddressCandidate &Each : View.EntryVms)
+    Live.push_back({Each.Vm, "", membership::ServingState::Serving});
+  return configuration::ReaderElection::readers(Live).contains(
+      View.EntryVms.front().Vm);
 }
 
 void ControlSide::tick() {
--- a/Source/Node/ControlSide.h
+++ b/Source/Node/ControlSide.h
@@ -5,7 +5,10 @@
 #include "Common/SeededRandom.h"
 #include "Control/TaskReactor.h"
 #include "Discovery/PublishedState.h"
+#include "Discovery/ReadingDuty.h"
 #include "Discovery/StoreListener.h"
+#include "Discovery/StoreSwitch.h"
+#include "Fleet/ChangeRelay.h"
 #include "Fleet/FleetAgent.h"
 #include "Membership/StopSequence.h"
 #include "Node/NodeEncodings.h"
@@ -21,7 +24,8 @@
 /// The thread that owns what this VM believes of the store and the fleet, and
 /// the planned stop.
 class ControlSide final : public discovery::StoreListener,
-                          private fleet::FleetViewListener {
+                          private fleet::FleetViewListener,
+                          private fleet::FleetFacts {
 public:
   /// OnStopped is called on the control thread when a planned stop is complete.
   /// Throws common::Error (SocketFailed). All references must outlive this.
@@ -32,7 +36,8 @@
   ControlSide(const ControlSide &) = delete;
   ControlSide &operator=(const ControlSide &) = delete;
 
-  void start();
+  /// Store must outlive the thread.
+  void start(discovery::StoreSwitch &Store);
   void stop();
 
   // Thread-safe:
@@ -42,6 +47,7 @@
                   std::uint64_t Revision) override;
   void onChanges(std::vector<discovery::StoreChange> Changes,
                  std::uint64_t Revision) override;
+  void onAnswered() override;
   void onCallFailed(const std::string &Problem,
                     std::chrono::milliseconds Duration) override;
   void onUnavailable(const std::string &Problem) override;
@@ -50,6 +56,13 @@
 
 private:
   void onFleet(const fleet::FleetView &View) override;
+  void onPeer(const common::Address &Peer,
+              const membership::MemberStatus &Status,
+              common::MonotonicTime SentAt) override;
+  std::uint64_t knownRevision() const override;
+  std::chrono::milliseconds answerAge() const override;
+  /// Whether this VM is one of those that read the store for the fleet.
+  bool isElected(const fleet::FleetView &View) const;
   void tick();
   void advanceStop();
   /// Passes on what has changed since the last call.
@@ -64,7 +77,11 @@
   common::SeededRandom Random;
   control::TaskReactor Reactor;
   discovery::PublishedState Published;
+  discovery::ReadingDuty Duty;
+  fleet::ChangeRelay Relay;
   fleet::FleetAgent Agent;
+  discovery::StoreSwitch *Reading = nullptr;
+  bool IsReading = true;
   membership::StopSequence Sequence;
   common::MonotonicTime StopBeganAt;
   std::uint64_t PublishedChanges = 0;
--- a/Source/Peering/MessageLimits.h
+++ b/Source/Peering/MessageLimits.h
@@ -18,7 +18,7 @@
 /// Longest id of a VM or searcher, and longest name of a failure domain.
 constexpr std::size_t MaxNameBytes = 64;
 
-constexpr std::size_t MaxKeyBytes = 128;
+constexpr std::size_t MaxKeyBytes = 200;
 /// Two years on: a service per 30 of 42,000 searchers, with room.
 constexpr std::size_t MaxKeys = 4096;
 /// The configuration service holds values of up to 1 MB.
--- a/Source/Programs/PlatformNode/main.cpp
+++ b/Source/Programs/PlatformNode/main.cpp
@@ -67,7 +67,7 @@
   });
   adapter::StorePoll Store(Settings.Store, Control, Time);
   Traffic.start();
-  Control.start();
+  Control.start(Store);
   Store.start();
   Log.write(
       logging::LogRecord(common::LogEvent::ProcessStarted)
--- a/Source/UnitTests/Discovery/StoreFollowerTest.cpp
+++ b/Source/UnitTests/Discovery/StoreFollowerTest.cpp
@@ -23,6 +23,7 @@
     this->Changes += Changes.size();
     this->Revision = At;
   }
+  void onAnswered() override {}
   void onCallFailed(const std::string &, milliseconds) override {}
   void onUnavailable(const std::string &) override { ++this->Outages; }
   void onAvailable() override { ++this->Returns; }
@@ -31,7 +32,7 @@
   void readAll(std::uint64_t At) {
     this->Store.Pages.push_back(
         {StoreStatus::Answered, {{"a", "1", At}}, false, At, ""});
-    this->Follower.step(this->Store);
+    this->Follower.step(this->Store, 0);
   }
 
   testsupport::ManualClock Time;
@@ -51,10 +52,10 @@
   this->Store.Pages = {
       {StoreStatus::Answered, {{"a", "1", 5}}, true, 10, ""},
       {StoreStatus::Answered, {{"b", "1", 12}}, false, 13, ""}};
-  this->Follower.step(this->Store);
+  this->Follower.step(this->Store, 0);
   EXPECT_EQ(this->Snapshots, std::vector<std::size_t>{2});
   EXPECT_EQ(this->Store.PagesAfter, (std::vector<std::string>{"", "a"}));
-  this->Follower.step(this->Store);
+  this->Follower.step(this->Store, 0);
   EXPECT_EQ(this->Store.WatchesAfter, std::vector<std::uint64_t>{10});
 }
 
@@ -62,7 +63,7 @@
 // 20 s a version was 5 s overdue.
 TEST_F(StoreFollowerTest, WatchEndsSoonEnoughForConfigurationToApply) {
   this->readAll(10);
-  this->Follower.step(this->Store);
+  this->Follower.step(this->Store, 0);
   EXPECT_LE(this->Store.LongestWait, milliseconds(2'000));
 }
 
@@ -71,15 +72,15 @@
   this->Store.Watches = {
       {StoreStatus::Answered, {{{"a", "2", 11}, false}}, 11, ""},
       {StoreStatus::Answered, {}, 11, ""}};
-  EXPECT_GE(this->Follower.step(this->Store), milliseconds(300));
+  EXPECT_GE(this->Follower.step(this->Store, 0), milliseconds(300));
   EXPECT_EQ(this->Changes, 1U);
-  EXPECT_EQ(this->Follower.step(this->Store), milliseconds(0));
+  EXPECT_EQ(this->Follower.step(this->Store, 0), milliseconds(0));
 }
 
 TEST_F(StoreFollowerTest, LostHistoryIsReadAgainAtOnce) {
   this->readAll(10);
   this->Store.Watches = {{StoreStatus::HistoryLost, {}, 0, ""}};
-  EXPECT_EQ(this->Follower.step(this->Store), milliseconds(0));
+  EXPECT_EQ(this->Follower.step(this->Store, 0), milliseconds(0));
   EXPECT_EQ(this->Losses, 1);
   this->readAll(20);
   EXPECT_EQ(this->Snapshots.size(), 2U);
@@ -88,14 +89,14 @@
 // Waiting calls may be cut without harm to the store.
 TEST_F(StoreFollowerTest, OneFailedCallIsNoOutage) {
   this->readAll(10);
-  this->Follower.step(this->Store);
+  this->Follower.step(this->Store, 0);
   EXPECT_EQ(this->Outages, 0);
-  this->Follower.step(this->Store);
+  this->Follower.step(this->Store, 0);
   EXPECT_EQ(this->Outages, 1);
-  this->Follower.step(this->Store);
+  this->Follower.step(this->Store, 0);
   EXPECT_EQ(this->Outages, 1);
   this->Store.Watches = {{StoreStatus::Answered, {}, 10, ""}};
-  this->Follower.step(this->Store);
+  this->Follower.step(this->Store, 0);
   EXPECT_EQ(this->Returns, 1);
 }
 
@@ -103,7 +104,7 @@
 TEST_F(StoreFollowerTest, FailedCallsAreSpacedOutToASecond) {
   milliseconds Longest{0};
   for (int I = 0; I < 10; ++I) {
-    const milliseconds Wait = this->Follower.step(this->Store);
+    const milliseconds Wait = this->Follower.step(this->Store, 0);
     EXPECT_GE(Wait, milliseconds(50));
     Longest = std::max(Longest, Wait);
   }
