Forwarding: reject at once what would wait past its target; bound queues

With the relay a new version is in force 2 s sooner, so a burst of twice the load meets only the new shards, 13 of whose searchers are ten times slower: searchers rejected 14,863 attempts, shards were missing for lack of repeats, and what came was late. Ruled out: the relay itself (the same with all VMs reading the store), processor time (0.02 core), connection limits. Change: VMs together hold at most five connections for each slot of a searcher, so that requests wait where a searcher can still be chosen; LoadAdmission rejects what would wait for 0.4 of its target, asked back after 200 ms.

--- /dev/null
+++ b/Source/Forwarding/AdmissionChain.h
@@ -0,0 +1,27 @@
+#ifndef ACACIACROSS_FORWARDING_ADMISSIONCHAIN_H
+#define ACACIACROSS_FORWARDING_ADMISSIONCHAIN_H
+
+#include "Forwarding/AdmissionRule.h"
+
+#include <vector>
+
+namespace acaciacross::forwarding {
+
+/// Several rules; the first refusal counts.
+class AdmissionChain final : public AdmissionRule {
+public:
+  /// The rules must outlive this.
+  explicit AdmissionChain(std::vector<const AdmissionRule *> Parts);
+
+  std::optional<Refusal> check(const ForwardRequest &Request,
+                               std::span<const common::ServiceName> Services,
+                               const ServiceBook &Book,
+                               common::MonotonicTime Now) const override;
+
+private:
+  std::vector<const AdmissionRule *> Rules;
+};
+
+} // namespace acaciacross::forwarding
+
+#endif
--- a/Source/Forwarding/AttemptPort.h
+++ b/Source/Forwarding/AttemptPort.h
@@ -32,6 +32,8 @@
   /// Has the listener told once when a searcher of the service has room.
   virtual void awaitRoom(const common::ServiceName &Service,
                          AttemptListener &Listener) = 0;
+  /// Listeners that await room at the service.
+  virtual std::size_t waiting(const common::ServiceName &Service) const = 0;
   virtual void stopAwaiting(AttemptListener &Listener) = 0;
 };
 
--- a/Source/Forwarding/ReplicaRecord.cpp
+++ b/Source/Forwarding/ReplicaRecord.cpp
@@ -24,6 +24,9 @@
 constexpr std::chrono::milliseconds BusyTime{100};
 // What a reply says of the load holds only about as long as a request runs.
 constexpr std::chrono::milliseconds LoadMemory{100};
+// Long enough that some reply falls into it, short enough that requests are
+// taken again soon after a burst.
+constexpr std::chrono::milliseconds QueueMemory{250};
 constexpr std::chrono::milliseconds FirstBackOff{250};
 constexpr std::chrono::milliseconds MaxBackOff{1'000};
 
@@ -148,6 +151,14 @@
 
 std::size_t ReplicaRecord::running() const { return this->Outstanding.size(); }
 
+std::optional<double>
+ReplicaRecord::queuePerSlot(common::MonotonicTime Now) const {
+  if (Now - this->LoadAt > QueueMemory)
+    return std::nullopt;
+  return static_cast<double>(this->Load.Waiting) /
+         std::max(1U, this->Load.Slots);
+}
+
 std::chrono::nanoseconds
 ReplicaRecord::expectedDelay(common::MonotonicTime Now,
                              std::chrono::nanoseconds Typical) const {
--- a/Source/Forwarding/ReplicaRecord.h
+++ b/Source/Forwarding/ReplicaRecord.h
@@ -6,6 +6,7 @@
 #include "Forwarding/SearcherLoad.h"
 
 #include <chrono>
+#include <optional>
 #include <set>
 
 namespace acaciacross::forwarding {
@@ -42,6 +43,9 @@
   /// Whether it leaves attempts unanswered for much longer than a pause lasts.
   bool isSilent(common::MonotonicTime Now,
                 std::chrono::nanoseconds Typical) const;
+  /// Requests that waited there for each of its slots, as a reply told it a
+  /// moment ago; empty when none did.
+  std::optional<double> queuePerSlot(common::MonotonicTime Now) const;
   /// Latency that a new attempt may expect; for comparison between replicas.
   std::chrono::nanoseconds
   expectedDelay(common::MonotonicTime Now,
--- a/Source/Forwarding/RouteStatistics.h
+++ b/Source/Forwarding/RouteStatistics.h
@@ -20,10 +20,16 @@
   std::chrono::nanoseconds quantile(double Fraction,
                                     std::chrono::milliseconds Target) const;
 
+  /// Latency of an attempt that does not wait in a queue: the lowest recent
+  /// tenth; the same guess until there are samples.
+  std::chrono::nanoseconds unloaded(std::chrono::milliseconds Target) const;
+
 private:
   static constexpr std::uint32_t WindowSamples = 500;
 
   retries::LatencyQuantile Latencies{WindowSamples};
+  std::chrono::nanoseconds Unloaded{0};
+  std::uint32_t SinceReview = 0;
 };
 
 } // namespace acaciacross::forwarding
--- a/Source/Forwarding/ServiceBook.cpp
+++ b/Source/Forwarding/ServiceBook.cpp
@@ -72,6 +72,15 @@
   return Found;
 }
 
+RouteLatency ServiceBook::latency(const Route &Target) const {
+  const auto Found = this->Statistics.find(Target.Name);
+  const RouteStatistics Unknown;
+  const RouteStatistics &Known =
+      Found == this->Statistics.end() ? Unknown : *Found->second;
+  return {Known.typical(Target.LatencyTarget),
+          Known.unloaded(Target.LatencyTarget)};
+}
+
 SplitDealer &ServiceBook::dealer(const std::string &RouteName) {
   return this->Dealers[RouteName];
 }
--- a/Source/Forwarding/ServiceBook.h
+++ b/Source/Forwarding/ServiceBook.h
@@ -4,10 +4,12 @@
 #include "Common/Identifiers.h"
 #include "Forwarding/RepeatBudget.h"
 #include "Forwarding/ReplicaRecord.h"
+#include "Forwarding/RouteLatency.h"
 #include "Forwarding/RouteStatistics.h"
 #include "Forwarding/RoutingTable.h"
 #include "Forwarding/SplitDealer.h"
 
+#include <chrono>
 #include <limits>
 #include <map>
 #include <memory>
@@ -36,6 +38,7 @@
   replicas(const common::ServiceName &Service) const;
   RepeatBudget &budget(const common::ServiceName &Service);
   std::shared_ptr<RouteStatistics> statistics(const std::string &RouteName);
+  RouteLatency latency(const Route &Target) const;
   SplitDealer &dealer(const std::string &RouteName);
   unsigned vmCount() const;
   const std::map<common::SearcherId, std::shared_ptr<ReplicaRecord>> &
--- a/Source/Gateway/ConnectionShare.cpp
+++ b/Source/Gateway/ConnectionShare.cpp
@@ -10,18 +10,24 @@
 // The rest is for connections that one side has closed and the other still
 // counts, and for VMs that have just joined.
 constexpr double UsablePart = 0.85;
+// Requests of all VMs together at one searcher, for each of its slots. With
+// more the last one waits for several others, and searchers reject it instead.
+constexpr double DepthPerSlot = 5.0;
 // For a service without a published limit.
 constexpr std::size_t DefaultConnections = 4;
 
 } // namespace
 
 std::size_t ConnectionShare::of(const forwarding::ServiceBook &Book,
-                                const common::ServiceName &Service) {
+                                const forwarding::SearcherEntry &Searcher) {
   const unsigned *Accepted =
-      Book.table() == nullptr ? nullptr : Book.table()->maxConnections(Service);
+      Book.table() == nullptr ? nullptr
+                              : Book.table()->maxConnections(Searcher.Service);
   if (Accepted == nullptr)
     return DefaultConnections;
-  const double Share = UsablePart * *Accepted / std::max(1U, Book.vmCount());
+  const double Useful =
+      std::min(UsablePart * *Accepted, DepthPerSlot * Searcher.Slots);
+  const double Share = Useful / std::max(1U, Book.vmCount());
   return std::max<std::size_t>(1, static_cast<std::size_t>(std::floor(Share)));
 }
 
--- a/Source/Gateway/UpstreamPort.cpp
+++ b/Source/Gateway/UpstreamPort.cpp
@@ -47,7 +47,7 @@
   return Found == this->Pools.end() ||
          Found->second.hasRoom(
              this->Loop.now(),
-             ConnectionShare::of(this->Book, Replica.entry().Service));
+             ConnectionShare::of(this->Book, Replica.entry()));
 }
 
 forwarding::AttemptNumber UpstreamPort::start(
@@ -110,6 +110,11 @@
   this->Waiting[Service].push_back(&Listener);
 }
 
+std::size_t UpstreamPort::waiting(const common::ServiceName &Service) const {
+  const auto Found = this->Waiting.find(Service);
+  return Found == this->Waiting.end() ? 0 : Found->second.size();
+}
+
 void UpstreamPort::stopAwaiting(forwarding::AttemptListener &Listener) {
   for (auto &[Service, Queue] : this->Waiting)
     std::erase(Queue, &Listener);
--- a/Source/Gateway/UpstreamPort.h
+++ b/Source/Gateway/UpstreamPort.h
@@ -39,6 +39,7 @@
                forwarding::AbandonMode Mode) override;
   void awaitRoom(const common::ServiceName &Service,
                  forwarding::AttemptListener &Listener) override;
+  std::size_t waiting(const common::ServiceName &Service) const override;
   void stopAwaiting(forwarding::AttemptListener &Listener) override;
 
   /// Closes connections to searchers that are no longer listed.
--- a/Source/Node/TrafficThread.h
+++ b/Source/Node/TrafficThread.h
@@ -4,7 +4,9 @@
 #include "Common/Clock.h"
 #include "Common/SeededRandom.h"
 #include "Fleet/FleetView.h"
+#include "Forwarding/AdmissionChain.h"
 #include "Forwarding/LeastDelayChoice.h"
+#include "Forwarding/LoadAdmission.h"
 #include "Forwarding/ReachabilityAdmission.h"
 #include "Forwarding/ServiceBook.h"
 #include "Forwarding/TailHedgeRule.h"
@@ -62,7 +64,9 @@
   forwarding::LeastDelayChoice Choice;
   forwarding::TailHedgeRule Hedges;
   forwarding::TargetPartialRule Partials;
-  forwarding::ReachabilityAdmission Admission;
+  forwarding::ReachabilityAdmission Reachability;
+  forwarding::LoadAdmission Load;
+  forwarding::AdmissionChain Admission;
   forwarding::ForwardingTools Tools;
   gateway::ForwardingHandler Requests;
   MetricsSource Metrics;
--- a/Source/UnitTests/Discovery/PublishedStateTest.cpp
+++ b/Source/UnitTests/Discovery/PublishedStateTest.cpp
@@ -120,6 +120,27 @@
   EXPECT_EQ(this->State.searchers().front().Id.Value, "b");
 }
 
+// Changes also come from peers, in any order.
+TEST_F(PublishedStateTest, OlderChangeDoesNotBringBackWhatWasRemoved) {
+  this->change("a", "searcher");
+  this->State.onChanges({{{"a", "", 9}, true}}, 9);
+  this->State.onChanges({{{"a", "searcher", 8}, false}}, 8);
+  EXPECT_EQ(this->listed(), 0U);
+  EXPECT_EQ(this->State.revision(), 9U);
+}
+
+TEST_F(PublishedStateTest, ChangesAfterARevisionHoldRemovalsOldestFirst) {
+  this->change("a", "searcher");
+  this->change("b", "searcher");
+  this->remove("a");
+  const auto After = this->State.changesAfter(1);
+  ASSERT_EQ(After.size(), 2U);
+  EXPECT_EQ(After[0].Item.Key, "b");
+  EXPECT_EQ(After[1].Item.Key, "a");
+  EXPECT_TRUE(After[1].IsRemoval);
+  EXPECT_TRUE(this->State.changesAfter(3).empty());
+}
+
 TEST_F(PublishedStateTest, RepeatedEntryIsNoChange) {
   this->change("a", "searcher");
   const std::uint64_t Before = this->State.changes();
--- /dev/null
+++ b/Source/UnitTests/Discovery/ReadingDutyTest.cpp
@@ -0,0 +1,56 @@
+#include "Discovery/ReadingDuty.h"
+
+#include "TestSupport/ManualClock.h"
+
+#include <gtest/gtest.h>
+
+namespace acaciacross::discovery {
+
+using std::chrono::milliseconds;
+
+class ReadingDutyTest : public testing::Test {
+protected:
+  bool mustRead(bool IsElected = false, bool HasAll = true) {
+    return this->Duty.mustRead(this->Time.monotonicNow(), IsElected, HasAll);
+  }
+
+  void answer() { this->Duty.noteAnswer(this->Time.monotonicNow()); }
+
+  testsupport::ManualClock Time;
+  ReadingDuty Duty;
+};
+
+TEST_F(ReadingDutyTest, ElectedVmAndVmWithoutAnythingRead) {
+  this->answer();
+  EXPECT_FALSE(this->mustRead());
+  EXPECT_TRUE(this->mustRead(true));
+  EXPECT_TRUE(this->mustRead(false, false));
+}
+
+// The elected readers may be just those that cannot reach the store; what
+// changes must be in effect within 3 s all the same.
+TEST_F(ReadingDutyTest, VmThatHearsOfNoFreshAnswerReadsItself) {
+  this->answer();
+  this->Time.advance(milliseconds(2'000));
+  EXPECT_FALSE(this->mustRead());
+  this->Time.advance(milliseconds(200));
+  EXPECT_TRUE(this->mustRead());
+}
+
+TEST_F(ReadingDutyTest, ReadingGoesOnForAWhileAfterTheFirstAnswer) {
+  EXPECT_TRUE(this->mustRead());
+  this->answer();
+  EXPECT_TRUE(this->mustRead());
+  this->Time.advance(milliseconds(4'100));
+  this->answer();
+  EXPECT_FALSE(this->mustRead());
+}
+
+// A late message must not make an answer look younger or older.
+TEST_F(ReadingDutyTest, YoungestAnswerCounts) {
+  this->answer();
+  this->Duty.noteAnswer(this->Time.monotonicNow() - milliseconds(5'000));
+  EXPECT_EQ(this->Duty.answerAge(this->Time.monotonicNow()), milliseconds(0));
+}
+
+} // namespace acaciacross::discovery
--- a/Source/UnitTests/Forwarding/FakeAttemptPort.h
+++ b/Source/UnitTests/Forwarding/FakeAttemptPort.h
@@ -45,6 +45,11 @@
     this->Waiting[Service.Value] = &Told;
   }
 
+  std::size_t waiting(const common::ServiceName &Service) const override {
+    const auto Found = this->Queued.find(Service.Value);
+    return Found == this->Queued.end() ? 0 : Found->second;
+  }
+
   void stopAwaiting(AttemptListener &Told) override {
     std::erase_if(this->Waiting,
                   [&](const auto &Each) { return Each.second == &Told; });
@@ -70,6 +75,7 @@
 
   std::vector<Sent> Attempts;
   std::set<std::string> Full;
+  std::map<std::string, std::size_t> Queued;
   std::map<std::string, AttemptListener *> Waiting;
 };
 
