--- a/Source/Logging/EventLog.cpp
+++ b/Source/Logging/EventLog.cpp
@@ -38,6 +38,10 @@
 
 EventLog::~EventLog() { this->close(); }
 
+void EventLog::setSource(const std::string &Vm) {
+  this->Source = "\"vm\":\"" + Vm + "\",";
+}
+
 void EventLog::write(const LogRecord &Record) {
   const std::string Stamp = this->stamp();
   bool WasEmpty = false;
@@ -129,7 +133,8 @@
   const auto Uptime = std::chrono::duration_cast<std::chrono::milliseconds>(
       this->Time.monotonicNow().time_since_epoch());
   return "\"time_ms\":" + std::to_string(Wall.count()) +
-         ",\"steady_ms\":" + std::to_string(Uptime.count()) + ",";
+         ",\"steady_ms\":" + std::to_string(Uptime.count()) + "," +
+         this->Source;
 }
 
 } // namespace acaciacross::logging
--- a/Source/Logging/EventLog.h
+++ b/Source/Logging/EventLog.h
@@ -24,6 +24,8 @@
   EventLog(const EventLog &) = delete;
   EventLog &operator=(const EventLog &) = delete;
 
+  /// Names the writer in every line from now on; before other threads log.
+  void setSource(const std::string &Vm);
   /// Thread-safe; never blocks on the reader.
   void write(const LogRecord &Record);
 
@@ -38,6 +40,7 @@
   std::string stamp() const;
 
   const common::Clock &Time;
+  std::string Source;
   int Number;
   std::mutex Mutex;
   std::condition_variable Filled;
--- a/Source/Programs/OperatorCli/ExitStatus.h
+++ b/Source/Programs/OperatorCli/ExitStatus.h
@@ -10,6 +10,7 @@
   DocumentInvalid = 3,
   FileUnreadable = 4,
   VmUnreachable = 5,
+  RequestUnknown = 6,
 };
 
 } // namespace acaciacross::operatorcli
--- a/Source/Programs/OperatorCli/Program/main.cpp
+++ b/Source/Programs/OperatorCli/Program/main.cpp
@@ -2,9 +2,11 @@
 #include "Programs/OperatorCli/DocumentCheck.h"
 #include "Programs/OperatorCli/PageFetch.h"
 #include "Programs/OperatorCli/PageTables.h"
+#include "Programs/OperatorCli/RequestStory.h"
 
 #include <gflags/gflags.h>
 
+#include <fstream>
 #include <iostream>
 #include <map>
 
@@ -27,8 +29,12 @@
     "    targets and results of classes, entry VMs in address answers,\n"
     "    searchers, revision in effect; --json prints the whole status page\n"
     "  acaciacross-ctl audit [--entry=A] [--after=N] [--json]\n"
+    "  acaciacross-ctl explain [--json] REQUEST-ID [LOG...]\n"
+    "    what the logs of VMs say of one request, by time; logs from standard\n"
+    "    input when no file is named\n"
     "exit status: 0 done or all valid, 2 wrong use, 3 a file is not valid,\n"
-    "4 a file cannot be read, 5 the entry VM gave no usable answer";
+    "4 a file cannot be read, 5 the entry VM gave no usable answer, 6 no line\n"
+    "of a log names the request";
 
 using Renderer = std::optional<std::string> (*)(const std::string &);
 
@@ -76,11 +82,35 @@
   return ExitStatus::Ok;
 }
 
+ExitStatus explain(const std::vector<std::string> &Arguments) {
+  if (Arguments.empty())
+    return refuseUse("explain: no request is named");
+  RequestStory Story(Arguments.front());
+  for (auto Name = Arguments.begin() + 1; Name != Arguments.end(); ++Name) {
+    std::ifstream Log(*Name);
+    if (!Log) {
+      std::cerr << "acaciacross-ctl: " << *Name << " cannot be read\n";
+      return ExitStatus::FileUnreadable;
+    }
+    Story.read(Log);
+  }
+  if (Arguments.size() == 1)
+    Story.read(std::cin);
+  if (Story.isEmpty()) {
+    std::cerr << "acaciacross-ctl: no line names " << Arguments.front() << '\n';
+    return ExitStatus::RequestUnknown;
+  }
+  std::cout << (FLAGS_json ? Story.json() + "\n" : Story.text());
+  return ExitStatus::Ok;
+}
+
 ExitStatus run(const std::vector<std::string> &Arguments) {
   if (Arguments.empty())
     return refuseUse(Usage);
   if (Arguments.front() == "check")
     return check({Arguments.begin() + 1, Arguments.end()});
+  if (Arguments.front() == "explain")
+    return explain({Arguments.begin() + 1, Arguments.end()});
   const auto Found = pageCommands().find(Arguments.front());
   if (Found == pageCommands().end() || Arguments.size() > 1)
     return refuseUse(Usage);
--- a/Source/Programs/PlatformNode/main.cpp
+++ b/Source/Programs/PlatformNode/main.cpp
@@ -71,7 +71,6 @@
   Store.start();
   Log.write(
       logging::LogRecord(common::LogEvent::ProcessStarted)
-          .text("vm", Settings.Vm.Value)
           .text("zone", Settings.FailureDomain)
           .text("callers", Settings.Callers.toString())
           .number("seeds", static_cast<std::int64_t>(Settings.Seeds.size())));
@@ -85,8 +84,7 @@
   Store.stop();
   Control.stop();
   Traffic.stop();
-  Log.write(logging::LogRecord(common::LogEvent::ProcessStopped)
-                .text("vm", Settings.Vm.Value));
+  Log.write(logging::LogRecord(common::LogEvent::ProcessStopped));
 }
 
 } // namespace
@@ -105,6 +103,7 @@
                   .text("reason", Error.what()));
     return SettingsExitStatus;
   }
+  Log.setSource(Settings.Vm.Value);
   if (FLAGS_check) {
     std::cout << "settings of " << Settings.Vm.Value << " are valid\n";
     return 0;
--- /dev/null
+++ b/Source/UnitTests/OperatorCli/RequestStoryTest.cpp
@@ -0,0 +1,40 @@
+#include "Programs/OperatorCli/RequestStory.h"
+
+#include <gtest/gtest.h>
+
+#include <sstream>
+
+namespace acaciacross::operatorcli {
+
+class RequestStoryTest : public testing::Test {
+protected:
+  void read(const std::string &Lines) {
+    std::istringstream Log(Lines);
+    this->Story.read(Log);
+  }
+
+  RequestStory Story{"r1"};
+};
+
+TEST_F(RequestStoryTest, LinesOfSeveralLogsAreInTheOrderOfTheirTimes) {
+  this->read(
+      "12.5 vm-2 {\"time_ms\":1020,\"vm\":\"vm-2\",\"event\":507,"
+      "\"name\":\"AttemptEnded\",\"request\":\"r1\",\"end\":\"lost\"}\n");
+  this->read(
+      "{\"time_ms\":1000,\"vm\":\"vm-1\",\"event\":500,"
+      "\"name\":\"RequestRefused\",\"request\":\"r1\",\"status\":503}\n");
+  EXPECT_EQ(this->Story.text(), "+0 ms 500 RequestRefused vm=vm-1 status=503\n"
+                                "+20 ms 507 AttemptEnded vm=vm-2 end=lost\n");
+}
+
+TEST_F(RequestStoryTest, OtherRequestsAndBrokenLinesArePassedOver) {
+  this->read("{\"request\":\"r11\"}\nr1 no object\n{\"request\":\"r1\"\n\n");
+  EXPECT_TRUE(this->Story.isEmpty());
+}
+
+TEST_F(RequestStoryTest, JsonIsTheListOfLines) {
+  this->read("{\"time_ms\":2,\"request\":\"r1\"}\n");
+  EXPECT_EQ(this->Story.json(), "[{\"time_ms\":2,\"request\":\"r1\"}]");
+}
+
+} // namespace acaciacross::operatorcli
