--- a/Source/Forwarding/Answer.h
+++ b/Source/Forwarding/Answer.h
@@ -4,6 +4,7 @@
 #include "Common/ResultCode.h"
 #include "Forwarding/AnswerKind.h"
 #include "Forwarding/AttemptNote.h"
+#include "Forwarding/Refusal.h"
 #include "Http/Response.h"
 
 #include <chrono>
@@ -24,6 +25,8 @@
   /// The proofs of the shards that are in.
   std::vector<std::string> Stamps;
   std::size_t MissingShards = 0;
+  /// Set when the request was rejected before anything was sent.
+  std::optional<Refusal> Rejected;
   /// When to ask again.
   std::optional<std::chrono::milliseconds> RetryAfter;
   std::vector<AttemptNote> Attempts;
--- a/Source/Forwarding/LoadAdmission.cpp
+++ b/Source/Forwarding/LoadAdmission.cpp
@@ -59,10 +59,12 @@
   const auto Wait = *Last;
   if (Wait <= Limit)
     return std::nullopt;
-  const auto Excess =
-      std::chrono::duration_cast<std::chrono::milliseconds>(Wait - Limit);
+  const auto Whole = [](auto Time) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(Time);
+  };
   return Refusal{common::ResultCode::Overloaded,
-                 std::max(LeastRetryPause, Excess)};
+                 std::max(LeastRetryPause, Whole(Wait - Limit)), Whole(Wait),
+                 Whole(Limit)};
 }
 
 } // namespace acaciacross::forwarding
--- a/Source/Forwarding/ReachabilityAdmission.cpp
+++ b/Source/Forwarding/ReachabilityAdmission.cpp
@@ -30,7 +30,7 @@
       Request.Target->Gather ? Request.Target->Gather->minShards() : 1;
   if (static_cast<std::size_t>(Usable) >= Least)
     return std::nullopt;
-  return Refusal{common::ResultCode::NoUsableReplica, RetryPause};
+  return Refusal{common::ResultCode::NoUsableReplica, RetryPause, {}, {}};
 }
 
 } // namespace acaciacross::forwarding
--- a/Source/Forwarding/Refusal.h
+++ b/Source/Forwarding/Refusal.h
@@ -11,6 +11,10 @@
 struct Refusal {
   common::ResultCode Code = common::ResultCode::Overloaded;
   std::chrono::milliseconds RetryAfter{0};
+  /// What an answer was expected to take, and what was allowed; 0 when time was
+  /// not the reason.
+  std::chrono::milliseconds Expected{0};
+  std::chrono::milliseconds Allowed{0};
 };
 
 } // namespace acaciacross::forwarding
--- a/Source/Gateway/ForwardingHandler.cpp
+++ b/Source/Gateway/ForwardingHandler.cpp
@@ -4,6 +4,7 @@
 #include "Forwarding/SingleExecution.h"
 
 #include <algorithm>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -137,6 +138,7 @@
     Result.Code = Refused->Code;
     Result.Message.Status = Unavailable;
     Result.RetryAfter = Refused->RetryAfter;
+    Result.Rejected = Refused;
     this->finish(*Active, std::move(Result));
     return;
   }
@@ -261,12 +263,21 @@
       .milliseconds("limit_ms", Request.AnswerBy - Request.ArrivedAt)
       .number("missing", static_cast<std::int64_t>(Result.MissingShards))
       .number("attempts", static_cast<std::int64_t>(Result.Attempts.size()));
+  if (Result.RetryAfter)
+    Line.milliseconds("retry_after_ms", *Result.RetryAfter);
+  if (Result.Rejected && Result.Rejected->Allowed.count() > 0)
+    Line.milliseconds("expected_ms", Result.Rejected->Expected)
+        .milliseconds("allowed_ms", Result.Rejected->Allowed);
   this->Log.write(Line);
   if (IsOrdinary)
     return;
+  // A hedge that lost against another attempt tells nothing of the outcome.
+  std::set<common::ServiceName> Served;
+  for (const forwarding::AttemptNote &Note : Result.Attempts)
+    if (Note.End == forwarding::AttemptEnd::Answered && Note.Status < 300)
+      Served.insert(Note.Service);
   for (const forwarding::AttemptNote &Note : Result.Attempts) {
-    if (Note.End == forwarding::AttemptEnd::Answered && Note.Status < 300 &&
-        Target.Gather)
+    if (Target.Gather && Served.contains(Note.Service))
       continue;
     this->Log.write(logging::LogRecord(common::LogEvent::AttemptEnded)
                         .text("request", Request.Id.Value)
--- a/Source/Node/MetricsSource.cpp
+++ b/Source/Node/MetricsSource.cpp
@@ -39,7 +39,8 @@
        << "# TYPE acaciacross_log_lines_dropped_total counter\n"
        << "acaciacross_log_lines_dropped_total " << this->Log.dropped() << '\n'
        << "# TYPE acaciacross_repeat_budget_left gauge\n"
-       << "# TYPE acaciacross_searchers gauge\n";
+       << "# TYPE acaciacross_searchers gauge\n"
+       << "# TYPE acaciacross_waiting gauge\n";
   std::set<common::ServiceName> Services;
   for (const auto &[Id, Record] : this->Book.allSearchers())
     Services.insert(Record->entry().Service);
@@ -49,7 +50,8 @@
          << this->Book.budget(Each).left(this->Time.monotonicNow(),
                                          this->Book.vmCount())
          << "\nacaciacross_searchers" << Label
-         << this->Book.replicas(Each).size() << '\n';
+         << this->Book.replicas(Each).size() << "\nacaciacross_waiting"
+         << Label << this->Port.waiting(Each) << '\n';
   }
   http::Response Reply;
   Reply.Status = Success;
--- a/Source/UnitTests/platform/NodeTrafficTest.cpp
+++ b/Source/UnitTests/platform/NodeTrafficTest.cpp
@@ -14,7 +14,11 @@
 #include <unistd.h>
 
 #include <chrono>
+#include <fstream>
 #include <memory>
+#include <regex>
+#include <set>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -308,4 +312,31 @@
       << Page;
 }
 
+// A metric that the operators' page does not explain, or one that it names and
+// nobody writes, misleads.
+TEST_F(NodeTrafficTest, OperatorsPageListsEveryMetric) {
+  this->searcher(
+      "p", [](std::size_t, const std::string &) { return answer("bytes"); });
+  this->publish();
+  this->ask("GET /safe/x");
+  this->ask("GET /nothing/x");
+  const std::regex Name("acaciacross_[a-z_]+");
+  const auto namesIn = [&Name](const std::string &Text) {
+    std::set<std::string> Names;
+    for (std::sregex_iterator Each(Text.begin(), Text.end(), Name), End;
+         Each != End; ++Each)
+      Names.insert(Each->str());
+    return Names;
+  };
+  std::ifstream File(std::string(ACACIACROSS_DOCS_DIR) + "/OPERATIONS.md");
+  std::stringstream Page;
+  Page << File.rdbuf();
+  std::string Types;
+  std::istringstream Lines(this->metrics());
+  for (std::string Line; std::getline(Lines, Line);)
+    if (Line.starts_with("# TYPE "))
+      Types += Line + "\n";
+  EXPECT_EQ(namesIn(Types), namesIn(Page.str()));
+}
+
 } // namespace acaciacross::adapter
