--- a/Source/Node/MetricsSource.cpp
+++ b/Source/Node/MetricsSource.cpp
@@ -50,8 +50,8 @@
          << this->Book.budget(Each).left(this->Time.monotonicNow(),
                                          this->Book.vmCount())
          << "\nacaciacross_searchers" << Label
-         << this->Book.replicas(Each).size() << "\nacaciacross_waiting"
-         << Label << this->Port.waiting(Each) << '\n';
+         << this->Book.replicas(Each).size() << "\nacaciacross_waiting" << Label
+         << this->Port.waiting(Each) << '\n';
   }
   http::Response Reply;
   Reply.Status = Success;
