--- a/Source/Gateway/ActiveRequest.cpp
+++ b/Source/Gateway/ActiveRequest.cpp
@@ -57,7 +57,7 @@
 }
 
 void ActiveRequest::onAnswer(forwarding::Answer Result) {
-  this->Handler.finish(*this, std::move(Result));
+  this->Handler.finish(*this, Result);
 }
 
 } // namespace acaciacross::gateway
--- a/Source/Gateway/ForwardingHandler.cpp
+++ b/Source/Gateway/ForwardingHandler.cpp
@@ -139,7 +139,7 @@
     Result.Message.Status = Unavailable;
     Result.RetryAfter = Refused->RetryAfter;
     Result.Rejected = Refused;
-    this->finish(*Active, std::move(Result));
+    this->finish(*Active, Result);
     return;
   }
   if (Target.Gather)
@@ -229,7 +229,7 @@
 }
 
 void ForwardingHandler::finish(ActiveRequest &Request,
-                               forwarding::Answer Result) {
+                               const forwarding::Answer &Result) {
   ServerConnection &Caller = Request.caller();
   const auto Found = this->Active.find(&Caller);
   this->Loop.retire(Found->second);
--- a/Source/Gateway/ForwardingHandler.h
+++ b/Source/Gateway/ForwardingHandler.h
@@ -59,7 +59,7 @@
   void reject(ServerConnection &Connection, const common::RequestId &Id,
               common::ResultCode Code, int Status,
               std::chrono::milliseconds RetryAfter);
-  void finish(ActiveRequest &Request, forwarding::Answer Result);
+  void finish(ActiveRequest &Request, const forwarding::Answer &Result);
   void record(const forwarding::ForwardRequest &Request,
               const forwarding::Answer &Result);
 
