--- a/Source/Platform/HttpFetcher.cpp
+++ b/Source/Platform/HttpFetcher.cpp
@@ -17,6 +17,12 @@
 // Bounds each poll; transfers end by their own timeout before.
 constexpr std::chrono::milliseconds PollPeriod{60'000};
 
+// What is published must be known within 3 s, so a connection without a sign of
+// life is given up after about that.
+constexpr int ProbeSeconds = 1;
+constexpr int ProbesUntilLost = 2;
+constexpr int UnacknowledgedMs = 2'000;
+
 std::size_t appendBody(char *Data, std::size_t Size, std::size_t Count,
                        void *Target) {
   auto *Body = static_cast<std::string *>(Target);
@@ -27,17 +33,16 @@
   return Length;
 }
 
-// Gives up a connection about 3 s after its last sign of life.
 int setProbes(void *, curl_socket_t Socket, curlsocktype) {
   const auto Set = [Socket](int Name, int Value) {
     ::setsockopt(Socket, IPPROTO_TCP, Name, &Value, sizeof Value);
   };
   const int On = 1;
   ::setsockopt(Socket, SOL_SOCKET, SO_KEEPALIVE, &On, sizeof On);
-  Set(TCP_KEEPIDLE, 1);
-  Set(TCP_KEEPINTVL, 1);
-  Set(TCP_KEEPCNT, 2);
-  Set(TCP_USER_TIMEOUT, 2'000);
+  Set(TCP_KEEPIDLE, ProbeSeconds);
+  Set(TCP_KEEPINTVL, ProbeSeconds);
+  Set(TCP_KEEPCNT, ProbesUntilLost);
+  Set(TCP_USER_TIMEOUT, UnacknowledgedMs);
   return CURL_SOCKOPT_OK;
 }
 
