--- a/Source/SystemTests/EntryVm.h
+++ b/Source/SystemTests/EntryVm.h
@@ -1,9 +1,10 @@
 #ifndef ACACIACROSS_SYSTEMTESTS_ENTRYVM_H
 #define ACACIACROSS_SYSTEMTESTS_ENTRYVM_H
 
+#include "Json/JsonNode.h"
+
 #include "SystemTests/ProcessHandle.h"
 #include "SystemTests/QueryAnswer.h"
-#include "Json/JsonNode.h"
 
 #include <chrono>
 #include <memory>
--- a/Source/SystemTests/RecordReader.cpp
+++ b/Source/SystemTests/RecordReader.cpp
@@ -1,8 +1,9 @@
 #include "SystemTests/RecordReader.h"
 
-#include "SystemTests/HttpCaller.h"
 #include "Json/JsonNode.h"
 
+#include "SystemTests/HttpCaller.h"
+
 #include <stdexcept>
 
 namespace acaciacross::systemtests {
