UnitTests: bound the wait for a closed connection by time; lint of new files

Ruled out: a connection that stays open (the test would then last 5 s). Change: the same 5 s, counted as time.

--- a/Source/UnitTests/Traffic/CurlAttemptPortTest.cpp
+++ b/Source/UnitTests/Traffic/CurlAttemptPortTest.cpp
@@ -162,7 +162,11 @@
     this->Port.wait(milliseconds(10));
   }
   this->Port.cancel(Spec.Id);
-  for (int I = 0; I < 500 && Upstream.closedByPeer() == 0; ++I)
+  // A wait may end at once while the socket closes, so the time counts and not
+  // the number of waits.
+  const auto Limit = std::chrono::steady_clock::now() + milliseconds(5'000);
+  while (Upstream.closedByPeer() == 0 &&
+         std::chrono::steady_clock::now() < Limit)
     this->Port.wait(milliseconds(10));
   EXPECT_EQ(Upstream.closedByPeer(), 1U);
   EXPECT_TRUE(this->Port.perform().empty());
--- a/Source/UnitTests/platform/CodecTest.cpp
+++ b/Source/UnitTests/platform/CodecTest.cpp
@@ -9,7 +9,7 @@
 class CodecTest : public testing::Test {
 protected:
   static http::Response response(int Status,
-                                 std::vector<http::Header> Headers) {
+                                 const std::vector<http::Header> &Headers) {
     http::Response Message;
     Message.Status = Status;
     for (const http::Header &Each : Headers)
--- a/Source/UnitTests/platform/NodeTrafficTest.cpp
+++ b/Source/UnitTests/platform/NodeTrafficTest.cpp
@@ -50,7 +50,8 @@
     sockaddr_in Local{};
     Local.sin_family = AF_INET;
     Local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::bind(Socket, reinterpret_cast<sockaddr *>(&Local), sizeof Local);
+    EXPECT_EQ(
+        ::bind(Socket, reinterpret_cast<sockaddr *>(&Local), sizeof Local), 0);
     socklen_t Size = sizeof Local;
     ::getsockname(Socket, reinterpret_cast<sockaddr *>(&Local), &Size);
     ::close(Socket);
@@ -137,8 +138,8 @@
     return Text.find(Part) != std::string::npos;
   }
 
-  const common::SystemClock Time;
-  const Encodings Encoding;
+  const common::SystemClock Time{};
+  const Encodings Encoding{};
   logging::EventLog Log{this->Time, ::open("/dev/null", O_WRONLY)};
   node::NodeSettings Settings;
   std::vector<std::unique_ptr<Upstream>> Upstreams;
@@ -321,7 +322,7 @@
   this->ask("GET /safe/x");
   this->ask("GET /nothing/x");
   const std::regex Name("acaciacross_[a-z_]+");
-  const auto namesIn = [&Name](const std::string &Text) {
+  const auto NamesIn = [&Name](const std::string &Text) {
     std::set<std::string> Names;
     for (std::sregex_iterator Each(Text.begin(), Text.end(), Name), End;
          Each != End; ++Each)
@@ -336,7 +337,7 @@
   for (std::string Line; std::getline(Lines, Line);)
     if (Line.starts_with("# TYPE "))
       Types += Line + "\n";
-  EXPECT_EQ(namesIn(Types), namesIn(Page.str()));
+  EXPECT_EQ(NamesIn(Types), NamesIn(Page.str()));
 }
 
 } // namespace acaciacross::adapter
