--- a/Source/Common/LogEvent.cpp
+++ b/Source/Common/LogEvent.cpp
@@ -41,7 +41,6 @@
     LogEvent::SearcherListed,
     LogEvent::SearcherUnlisted,
     LogEvent::EntryMalformed,
-    LogEvent::SearcherSuspected,
     LogEvent::RequestRefused,
     LogEvent::RequestFailed,
     LogEvent::ReplyDiscarded,
@@ -125,8 +124,6 @@
     return "SearcherUnlisted";
   case LogEvent::EntryMalformed:
     return "EntryMalformed";
-  case LogEvent::SearcherSuspected:
-    return "SearcherSuspected";
   case LogEvent::RequestRefused:
     return "RequestRefused";
   case LogEvent::RequestFailed:
--- a/Source/Common/LogEvent.h
+++ b/Source/Common/LogEvent.h
@@ -48,7 +48,6 @@
   SearcherListed = 407,
   SearcherUnlisted = 408,
   EntryMalformed = 409,
-  SearcherSuspected = 410,
 
   RequestRefused = 500,
   RequestFailed = 501,
