Routing, Fleet: place callers of a large fleet on its largest VMs

Cause: on the grown sites each of 69 VMs sends to nearly every searcher, too seldom to keep a connection, and together they hold more connections than a searcher accepts (one each is 69 of 66). Two thirds of the VMs have 0.12 of a core, so that a query over 36 shards spends its target on the processor. Besides, the election of readers took only VMs with evidence of the last second for live, so that in a fleet that is sampled many VMs elected themselves.

The placed VMs are therefore probed in turn each round.

A VM that does not know its fleet yet answers no address questions, so callers keep what they have. Counts in datagrams take one byte instead of two, which pays for the new fields.

--- a/Source/Common/LogEvent.cpp
+++ b/Source/Common/LogEvent.cpp
@@ -31,6 +31,7 @@
     LogEvent::PeerRestarted,
     LogEvent::VmListUnavailable,
     LogEvent::VmIdDuplicate,
+    LogEvent::CallersPlaced,
     LogEvent::SearcherEjected,
     LogEvent::SearcherRestored,
     LogEvent::SearcherLeaving,
@@ -104,6 +105,8 @@
     return "VmListUnavailable";
   case LogEvent::VmIdDuplicate:
     return "VmIdDuplicate";
+  case LogEvent::CallersPlaced:
+    return "CallersPlaced";
   case LogEvent::SearcherEjected:
     return "SearcherEjected";
   case LogEvent::SearcherRestored:
--- a/Source/Common/LogEvent.h
+++ b/Source/Common/LogEvent.h
@@ -37,6 +37,7 @@
   PeerRestarted = 303,
   VmListUnavailable = 304,
   VmIdDuplicate = 305,
+  CallersPlaced = 306,
 
   SearcherEjected = 400,
   SearcherRestored = 401,
--- a/Source/Fleet/FleetAgent.cpp
+++ b/Source/Fleet/FleetAgent.cpp
@@ -37,10 +37,10 @@
                        const common::Clock &PauseTime,
                        common::RandomSource &RandomNumbers,
                        logging::EventLog &Journal, FleetViewListener &Receiver,
-                       const FleetFacts &Told)
+                       const FleetFacts &Told, routing::PlacementRule &Placing)
     : ACE_Event_Handler(&Events), Settings(std::move(Identity)),
       Time(PauseTime), Log(Journal), Listener(Receiver), Facts(Told),
-      Fleet(this->Settings.Vm), Hints(this->Settings.Peers),
+      Placement(Placing),       Fleet(this->Settings.Vm), Hints(this->Settings.Peers),
       Socket(this->Settings.Peers, Events, *this, PauseTime),
       Probes(this->Socket, RandomNumbers), Size(this->Settings.SizeWindow) {
   this->addSeeds(this->Settings.Seeds);
@@ -141,6 +141,8 @@
   Status.FailureDomain = this->Settings.FailureDomain;
   Status.InEffect = common::Revision(this->Facts.knownRevision());
   Status.ServiceAnswerAge = this->Facts.answerAge();
+  Status.CapacityMilliCores = this->Settings.CapacityMilliCores;
+  Status.BusyPerMille = this->Facts.busyPerMille();
   return Status;
 }
 
@@ -179,6 +181,34 @@
     this->publish();
 }
 
+void FleetAgent::place(FleetView &View, common::MonotonicTime Now) {
+  std::vector<routing::PlacementCandidate> Candidates;
+  const auto Add = [&](const membership::MemberStatus &Status) {
+    if (Status.State == membership::ServingState::Serving)
+      Candidates.push_back({Status.Vm, Status.FailureDomain,
+                            Status.CapacityMilliCores, Status.BusyPerMille});
+  };
+  Add(this->ownStatus());
+  for (const membership::PeerRecord *Peer : this->Fleet.livePeers())
+    Add(Peer->Status);
+  for (const routing::PlacementCandidate &Each : Candidates)
+    View.Serving.push_back(Each.Vm);
+  View.Placed = this->Placement.choose(Candidates, Now);
+  if (View.Placed == this->PlacedBefore)
+    return;
+  this->PlacedBefore = View.Placed;
+  std::vector<common::Address> Preferred;
+  for (const common::VmId &Vm : View.Placed)
+    if (const membership::PeerRecord *Peer = this->Fleet.find(Vm))
+      Preferred.push_back(Peer->Peers);
+  this->Probes.setPreferred(std::move(Preferred));
+  this->Log.write(
+      logging::LogRecord(common::LogEvent::CallersPlaced)
+          .number("serving", static_cast<std::int64_t>(Candidates.size()))
+          .number("placed", static_cast<std::int64_t>(View.Placed.size()))
+          .flag("this_vm", View.Placed.contains(this->Settings.Vm)));
+}
+
 void FleetAgent::publish() {
   const common::MonotonicTime Now = this->Time.monotonicNow();
   FleetView View;
@@ -187,6 +217,7 @@
   for (const membership::PeerRecord *Peer : this->Fleet.servingPeers(Now))
     View.EntryVms.push_back({Peer->Status.Vm, Peer->Status.Callers,
                              Peer->Status.FailureDomain, Peer->EvidenceAt});
+  this->place(View, Now);
   this->Size.note(Now,
                   static_cast<unsigned>(1 + this->Fleet.livePeers().size()));
   View.VmCount = this->Size.largest(Now);
--- a/Source/Fleet/FleetAgent.h
+++ b/Source/Fleet/FleetAgent.h
@@ -13,10 +13,12 @@
 #include "Membership/UpdateQueue.h"
 #include "Peering/DatagramListener.h"
 #include "Peering/ProbeSocket.h"
+#include "Routing/PlacementRule.h"
 
 #include <ace/Event_Handler.h>
 
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,7 +34,8 @@
   FleetAgent(FleetAgentSettings Identity, ACE_Reactor &Events,
              const common::Clock &PauseTime,
              common::RandomSource &RandomNumbers, logging::EventLog &Journal,
-             FleetViewListener &Receiver, const FleetFacts &Told);
+             FleetViewListener &Receiver, const FleetFacts &Told,
+             routing::PlacementRule &Placing);
   ~FleetAgent() override;
   FleetAgent(const FleetAgent &) = delete;
   FleetAgent &operator=(const FleetAgent &) = delete;
@@ -58,6 +61,8 @@
                     const membership::Heartbeat &Content);
   void record(const std::vector<membership::FleetEvent> &Events,
               const std::string &Cause);
+  /// Chooses the VMs that take callers, and has them probed most often.
+  void place(FleetView &View, common::MonotonicTime Now);
   void publish();
 
   FleetAgentSettings Settings;
@@ -65,6 +70,8 @@
   logging::EventLog &Log;
   FleetViewListener &Listener;
   const FleetFacts &Facts;
+  routing::PlacementRule &Placement;
+  std::set<common::VmId> PlacedBefore;
   membership::ServingState State = membership::ServingState::Joining;
   membership::FleetTable Fleet;
   membership::AddressHints Hints;
--- a/Source/Fleet/FleetAgentSettings.h
+++ b/Source/Fleet/FleetAgentSettings.h
@@ -19,6 +19,8 @@
   /// Where peers send probes.
   common::Address Peers;
   std::string FailureDomain;
+  /// Processor that this VM may use, in thousandths of a core.
+  unsigned CapacityMilliCores = 0;
   /// Peer addresses that may be stale.
   std::vector<common::Address> Seeds;
   /// How long a lost VM counts in the size of the fleet.
--- a/Source/Fleet/FleetView.h
+++ b/Source/Fleet/FleetView.h
@@ -3,14 +3,19 @@
 
 #include "Routing/AddressCandidate.h"
 
+#include <set>
 #include <vector>
 
 namespace acaciacross::fleet {
 
 /// What this VM knows of the fleet.
 struct FleetView {
-  /// This VM first, then the peers that serve.
+  /// This VM first, then the peers that serve and have fresh evidence.
   std::vector<routing::AddressCandidate> EntryVms;
+  /// All VMs that serve and are not known to be lost, with this one.
+  std::vector<common::VmId> Serving;
+  /// Those of them that take callers.
+  std::set<common::VmId> Placed;
   /// VMs that may hold connections to searchers or have sent requests in the
   /// last window of the repeat budget, with this one; FleetSizeMemory::Unknown
   /// for a while after the start.
--- a/Source/Forwarding/ServiceBook.cpp
+++ b/Source/Forwarding/ServiceBook.cpp
@@ -44,7 +44,7 @@
   std::erase_if(this->Dealers, IsGone);
 }
 
-void ServiceBook::setVmCount(unsigned Count) { this->Vms = Count; }
+void ServiceBook::setFleet(const FleetPart &Part) { this->Fleet = Part; }
 
 const std::shared_ptr<const RoutingTable> &ServiceBook::table() const {
   return this->Table;
@@ -85,7 +85,7 @@
   return this->Dealers[RouteName];
 }
 
-unsigned ServiceBook::vmCount() const { return this->Vms; }
+const FleetPart &ServiceBook::fleet() const { return this->Fleet; }
 
 const std::map<common::SearcherId, std::shared_ptr<ReplicaRecord>> &
 ServiceBook::allSearchers() const {
--- a/Source/Forwarding/ServiceBook.h
+++ b/Source/Forwarding/ServiceBook.h
@@ -2,6 +2,7 @@
 #define ACACIACROSS_FORWARDING_SERVICEBOOK_H
 
 #include "Common/Identifiers.h"
+#include "Forwarding/FleetPart.h"
 #include "Forwarding/RepeatBudget.h"
 #include "Forwarding/ReplicaRecord.h"
 #include "Forwarding/RouteLatency.h"
@@ -10,7 +11,6 @@
 #include "Forwarding/SplitDealer.h"
 
 #include <chrono>
-#include <limits>
 #include <map>
 #include <memory>
 #include <span>
@@ -30,8 +30,7 @@
   void setSearchers(const std::vector<SearcherEntry> &Entries);
   /// Forgets routes and budgets that the table no longer names.
   void setTable(std::shared_ptr<const RoutingTable> Current);
-  /// VMs of the fleet that may be sending to searchers, with this one.
-  void setVmCount(unsigned Count);
+  void setFleet(const FleetPart &Part);
 
   const std::shared_ptr<const RoutingTable> &table() const;
   std::span<const std::shared_ptr<ReplicaRecord>>
@@ -40,14 +39,13 @@
   std::shared_ptr<RouteStatistics> statistics(const std::string &RouteName);
   RouteLatency latency(const Route &Target) const;
   SplitDealer &dealer(const std::string &RouteName);
-  unsigned vmCount() const;
+  const FleetPart &fleet() const;
   const std::map<common::SearcherId, std::shared_ptr<ReplicaRecord>> &
   allSearchers() const;
 
 private:
   RepeatBudgetSettings Bounds;
-  // Before the fleet is known the shares of this VM are as small as can be.
-  unsigned Vms = std::numeric_limits<unsigned>::max();
+  FleetPart Fleet;
   std::shared_ptr<const RoutingTable> Table;
   std::map<common::SearcherId, std::shared_ptr<ReplicaRecord>> Searchers;
   std::unordered_map<common::ServiceName,
--- a/Source/Gateway/UpstreamPort.cpp
+++ b/Source/Gateway/UpstreamPort.cpp
@@ -140,6 +140,11 @@
   }
 }
 
+void UpstreamPort::closeIdle() {
+  for (auto &[Id, Pool] : this->Pools)
+    Pool.closeIdle();
+}
+
 std::uint64_t UpstreamPort::connectionsOpened() const { return this->Opened; }
 
 std::size_t UpstreamPort::connections() const {
@@ -174,7 +179,7 @@
   const common::SearcherId &Searcher = Attempt.Replica->entry().Id;
   const auto Pool = this->Pools.find(Searcher);
   if (MayReuse && !Reply.IsOtherSearcher && Attempt.Replica->isListed() &&
-      Pool != this->Pools.end())
+      this->keepsConnections() && Pool != this->Pools.end())
     Pool->second.release(Attempt.Connection, this->Loop.now(),
                          Reply.IdleTimeout);
   else
@@ -242,6 +247,13 @@
   Attempt.Connection->send(Bytes, Attempt.Request->Message.Method != "HEAD");
 }
 
+// A VM that stands by gets single requests; connections that it kept would
+// take the place of those that the placed VMs use all the time.
+bool UpstreamPort::keepsConnections() const {
+  const forwarding::FleetPart &Fleet = this->Book.fleet();
+  return Fleet.IsPlaced || Fleet.StandbyCount == 0;
+}
+
 UpstreamAttempt UpstreamPort::take(AttemptMap::iterator Position) {
   UpstreamAttempt Attempt = std::move(Position->second);
   this->Attempts.erase(Position);
--- a/Source/Gateway/UpstreamPort.h
+++ b/Source/Gateway/UpstreamPort.h
@@ -44,6 +44,8 @@
 
   /// Closes connections to searchers that are no longer listed.
   void closeUnlisted();
+  /// Closes the connections that no attempt uses.
+  void closeIdle();
 
   std::uint64_t connectionsOpened() const;
   std::size_t connections() const;
@@ -57,6 +59,8 @@
                   bool MayReuse) override;
   void onUpstreamClosed(UpstreamConnection &Connection, bool WasSent) override;
 
+  /// Whether this VM keeps connections that no attempt uses.
+  bool keepsConnections() const;
   ConnectionPool &poolOf(const forwarding::SearcherEntry &Searcher);
   void send(const UpstreamAttempt &Attempt);
   /// Takes the attempt off; its searcher's record knows that it has ended.
--- a/Source/Membership/MemberStatus.h
+++ b/Source/Membership/MemberStatus.h
@@ -26,6 +26,11 @@
   /// How long ago the configuration service answered any VM that the sender
   /// knows of; saturates at configuration::ReadSchedule::MaxAge.
   std::chrono::milliseconds ServiceAnswerAge{0};
+  /// Processor that the VM may use, in thousandths of a core; 0 when unknown.
+  unsigned CapacityMilliCores = 0;
+  /// Share of the last second or so in which its traffic thread did not wait,
+  /// in thousandths.
+  unsigned BusyPerMille = 0;
 
   bool operator==(const MemberStatus &) const = default;
 };
--- a/Source/Membership/Prober.cpp
+++ b/Source/Membership/Prober.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace acaciacross::membership {
 
@@ -41,6 +42,10 @@
   return SentAt;
 }
 
+void Prober::setPreferred(std::vector<common::Address> Peers) {
+  this->Preferred = std::move(Peers);
+}
+
 void Prober::discardPending() { this->Pending.clear(); }
 
 std::vector<common::Address> Prober::chooseTargets(const FleetTable &Fleet,
@@ -71,9 +76,9 @@
   return Targets;
 }
 
-// One place for a peer that left a probe unanswered, so that it is soon known
-// whether a datagram or the peer was lost, and one for an address that never
-// answered; random peers take the rest.
+// The preferred peers come first. One place is for a peer that left a probe
+// unanswered, so that it is soon known whether a datagram or the peer was lost,
+// and one for an address that never answered; random peers take the rest.
 std::vector<common::Address> Prober::sample(const FleetTable &Fleet,
                                             const AddressHints &Hints) {
   std::vector<const common::Address *> Known;
@@ -84,17 +89,26 @@
       Suspects.push_back(&Record.Peers);
   }
   std::set<common::Address> Targets;
+  this->addPreferred(Targets);
+  const std::size_t Most =
+      Targets.empty() ? LargeFleetRound : Targets.size() + SampledPeers;
   if (!Suspects.empty())
     Targets.insert(*Suspects[this->Random.below(Suspects.size())]);
   if (const auto Hint = this->pickUnknown(Fleet, Hints))
     Targets.insert(*Hint);
   for (std::size_t Try = 0;
-       !Known.empty() && Targets.size() < LargeFleetRound && Try < MaxTries;
-       ++Try)
+       !Known.empty() && Targets.size() < Most && Try < MaxTries; ++Try)
     Targets.insert(*Known[this->Random.below(Known.size())]);
   return {Targets.begin(), Targets.end()};
 }
 
+void Prober::addPreferred(std::set<common::Address> &Targets) {
+  const std::size_t Count = std::min(PreferredPerRound, this->Preferred.size());
+  for (std::size_t I = 0; I < Count; ++I)
+    Targets.insert(
+        this->Preferred[this->NextPreferred++ % this->Preferred.size()]);
+}
+
 std::optional<common::Address> Prober::pickUnknown(const FleetTable &Fleet,
                                                    const AddressHints &Hints) {
   if (Hints.size() == 0)
--- a/Source/Membership/Prober.h
+++ b/Source/Membership/Prober.h
@@ -20,6 +20,9 @@
 public:
   Prober(PeerChannel &ProbeChannel, common::RandomSource &RandomNumbers);
 
+  /// Peers of a large fleet that are probed in turn, so that their evidence
+  /// stays fresh; the rest is sampled.
+  void setPreferred(std::vector<common::Address> Peers);
   /// Sends one round to the peers and hinted addresses.
   void tick(common::MonotonicTime Now, FleetTable &Fleet,
             const AddressHints &Hints, const Heartbeat &Content);
@@ -42,6 +45,7 @@
   std::vector<common::Address> inTurn(const std::set<common::Address> &All);
   std::vector<common::Address> sample(const FleetTable &Fleet,
                                       const AddressHints &Hints);
+  void addPreferred(std::set<common::Address> &Targets);
   std::optional<common::Address> pickUnknown(const FleetTable &Fleet,
                                              const AddressHints &Hints);
   void expire(common::MonotonicTime Now);
@@ -50,6 +54,8 @@
   common::RandomSource &Random;
   std::uint64_t NextSequence;
   common::Address LastTarget;
+  std::vector<common::Address> Preferred;
+  std::size_t NextPreferred = 0;
   std::map<std::uint64_t, PendingProbe> Pending;
 };
 
--- a/Source/Net/EventLoop.cpp
+++ b/Source/Net/EventLoop.cpp
@@ -99,6 +99,16 @@
   this->post([this] { this->Stopping = true; });
 }
 
+// The two values are not read together; a reader that is wrong by one wait for
+// a moment does no harm.
+std::chrono::nanoseconds EventLoop::waited() const {
+  const std::int64_t Since = this->WaitsSinceNs;
+  const std::int64_t Open =
+      Since == 0 ? 0
+                 : this->Time.monotonicNow().time_since_epoch().count() - Since;
+  return std::chrono::nanoseconds(this->WaitedNs + Open);
+}
+
 void EventLoop::run() {
   while (!this->Stopping) {
     this->wait();
@@ -109,9 +119,13 @@
 
 void EventLoop::wait() {
   std::array<epoll_event, EventsPerRound> Events{};
+  const common::MonotonicTime Began = this->Time.monotonicNow();
+  this->WaitsSinceNs = Began.time_since_epoch().count();
   const int Count = ::epoll_wait(this->Poller.get(), Events.data(),
-                                 EventsPerRound, this->timeout());
+                                 EventsPerRound, this->timeout(Began));
   this->refreshTime();
+  this->WaitsSinceNs = 0;
+  this->WaitedNs += (this->Now - Began).count();
   for (int I = 0; I < Count; ++I) {
     const epoll_event &Event = Events[static_cast<std::size_t>(I)];
     this->dispatch(Event.data.u64, Event.events);
@@ -155,10 +169,10 @@
     Work();
 }
 
-int EventLoop::timeout() const {
+int EventLoop::timeout(common::MonotonicTime From) const {
   if (this->Timers.empty())
     return -1;
-  const auto Left = this->Timers.begin()->first.At - this->Time.monotonicNow();
+  const auto Left = this->Timers.begin()->first.At - From;
   const auto Rounded = std::chrono::ceil<std::chrono::milliseconds>(Left);
   return static_cast<int>(std::clamp<std::int64_t>(Rounded.count(), 0, 60'000));
 }
--- a/Source/Net/EventLoop.h
+++ b/Source/Net/EventLoop.h
@@ -6,6 +6,8 @@
 #include "Net/IoHandler.h"
 #include "Net/TimerId.h"
 
+#include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -44,6 +46,8 @@
   void post(Task Work);
   /// Thread-safe.
   void stop();
+  /// Thread-safe. How long the loop has waited for events since its start.
+  std::chrono::nanoseconds waited() const;
   void run();
 
 private:
@@ -56,7 +60,7 @@
   void dispatch(std::uint64_t Key, std::uint32_t Events);
   void runDueTimers();
   void runPosted();
-  int timeout() const;
+  int timeout(common::MonotonicTime From) const;
   void refreshTime();
   void wake() const;
 
@@ -70,6 +74,10 @@
   common::MonotonicTime Now;
   bool Stopping = false;
 
+  std::atomic<std::int64_t> WaitedNs{0};
+  /// Since when the loop waits; 0 while it works.
+  std::atomic<std::int64_t> WaitsSinceNs{0};
+
   std::mutex Mutex;
   /// Guarded by Mutex.
   std::vector<Task> Posted;
--- a/Source/Node/ControlSide.cpp
+++ b/Source/Node/ControlSide.cpp
@@ -21,6 +21,7 @@
   Chosen.Callers = Settings.Callers;
   Chosen.Peers = Settings.Peers;
   Chosen.FailureDomain = Settings.FailureDomain;
+  Chosen.CapacityMilliCores = Settings.CapacityMilliCores;
   Chosen.Seeds = Settings.Seeds;
   Chosen.SizeWindow = Settings.Repeats.Window;
   return Chosen;
@@ -41,7 +42,8 @@
       Relay(Settings.Peers, this->Reactor.events(), TimeSource, this->Published,
             Journal),
       Agent(agentSettings(Settings, this->Random), this->Reactor.events(),
-            this->PauseTime, this->Random, Journal, *this, *this) {}
+            this->PauseTime, this->Random, Journal, *this, *this,
+            this->Placement) {}
 
 ControlSide::~ControlSide() { this->stop(); }
 
@@ -156,13 +158,16 @@
   if (!this->IsServing)
     return false;
   std::vector<configuration::ReaderCandidate> Live;
-  for (const routing::AddressCandidate &Each : View.EntryVms)
-    Live.push_back({Each.Vm, "", membership::ServingState::Serving});
+  for (const common::VmId &Each : View.Serving)
+    Live.push_back({Each, "", membership::ServingState::Serving});
   return configuration::ReaderElection::readers(Live).contains(
       View.EntryVms.front().Vm);
 }
 
+unsigned ControlSide::busyPerMille() const { return this->Busy.perMille(); }
+
 void ControlSide::tick() {
+  this->Busy.note(this->Time.monotonicNow(), this->Traffic.waited());
   this->Published.expire();
   this->advanceStop();
 }
--- a/Source/Node/ControlSide.h
+++ b/Source/Node/ControlSide.h
@@ -11,9 +11,11 @@
 #include "Fleet/ChangeRelay.h"
 #include "Fleet/FleetAgent.h"
 #include "Membership/StopSequence.h"
+#include "Net/BusyMeter.h"
 #include "Node/NodeEncodings.h"
 #include "Node/NodeSettings.h"
 #include "Node/TrafficThread.h"
+#include "Routing/LoadPlacement.h"
 
 #include <cstdint>
 #include <functional>
@@ -61,6 +63,7 @@
               common::MonotonicTime SentAt) override;
   std::uint64_t knownRevision() const override;
   std::chrono::milliseconds answerAge() const override;
+  unsigned busyPerMille() const override;
   /// Whether this VM is one of those that read the store for the fleet.
   bool isElected(const fleet::FleetView &View) const;
   void tick();
@@ -79,6 +82,8 @@
   discovery::PublishedState Published;
   discovery::ReadingDuty Duty;
   fleet::ChangeRelay Relay;
+  routing::LoadPlacement Placement;
+  net::BusyMeter Busy;
   fleet::FleetAgent Agent;
   discovery::StoreSwitch *Reading = nullptr;
   bool IsReading = true;
--- a/Source/Node/MetricsSource.cpp
+++ b/Source/Node/MetricsSource.cpp
@@ -35,7 +35,11 @@
        << (this->Book.table() == nullptr ? 0 : this->Book.table()->version())
        << '\n'
        << "# TYPE acaciacross_fleet_vms gauge\n"
-       << "acaciacross_fleet_vms " << this->Book.vmCount() << '\n'
+       << "acaciacross_fleet_vms " << this->Book.fleet().VmCount << '\n'
+       << "# TYPE acaciacross_fleet_placed_vms gauge\n"
+       << "acaciacross_fleet_placed_vms " << this->Book.fleet().PlacedCount
+       << "\n# TYPE acaciacross_placed gauge\n"
+       << "acaciacross_placed " << (this->Book.fleet().IsPlaced ? 1 : 0) << '\n'
        << "# TYPE acaciacross_log_lines_dropped_total counter\n"
        << "acaciacross_log_lines_dropped_total " << this->Log.dropped() << '\n'
        << "# TYPE acaciacross_repeat_budget_left gauge\n"
@@ -48,7 +52,7 @@
     const std::string Label = "{service=\"" + Each.Value + "\"} ";
     Page << "acaciacross_repeat_budget_left" << Label
          << this->Book.budget(Each).left(this->Time.monotonicNow(),
-                                         this->Book.vmCount())
+                                         this->Book.fleet().VmCount)
          << "\nacaciacross_searchers" << Label
          << this->Book.replicas(Each).size() << "\nacaciacross_waiting" << Label
          << this->Port.waiting(Each) << '\n';
--- a/Source/Node/NodeSettings.h
+++ b/Source/Node/NodeSettings.h
@@ -15,6 +15,8 @@
 struct NodeSettings {
   common::VmId Vm;
   std::string FailureDomain;
+  /// Processor that this VM may use, in thousandths of a core; 0 when unknown.
+  unsigned CapacityMilliCores = 0;
   /// Where callers connect, and are told to connect.
   common::Address Callers;
   /// Where readiness is asked for.
--- a/Source/Node/TrafficThread.cpp
+++ b/Source/Node/TrafficThread.cpp
@@ -1,5 +1,7 @@
 #include "Node/TrafficThread.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace acaciacross::node {
@@ -57,8 +59,8 @@
 
 void TrafficThread::setFleet(fleet::FleetView View) {
   this->Loop.post([this, View = std::move(View)] {
-    this->Book.setVmCount(View.VmCount);
     this->Fleet = View;
+    this->takePart();
   });
 }
 
@@ -80,15 +82,46 @@
   return this->Requests.active();
 }
 
+std::chrono::nanoseconds TrafficThread::waited() const {
+  return this->Loop.waited();
+}
+
+void TrafficThread::takePart() {
+  const bool WasPlaced = this->Book.fleet().IsPlaced;
+  forwarding::FleetPart Part;
+  Part.VmCount = this->Fleet.VmCount;
+  Part.PlacedCount = static_cast<unsigned>(this->Fleet.Placed.size());
+  Part.StandbyCount =
+      static_cast<unsigned>(this->Fleet.Serving.size()) - Part.PlacedCount;
+  Part.IsPlaced = this->Fleet.Placed.contains(this->Fleet.EntryVms.front().Vm);
+  this->Book.setFleet(Part);
+  if (WasPlaced && !Part.IsPlaced)
+    this->Port.closeIdle();
+}
+
 bool TrafficThread::isReady() const {
   return !this->Stopping && this->Book.table() != nullptr &&
          !this->Book.allSearchers().empty();
 }
 
+// A VM that has just started knows too few others, and callers keep the answer
+// that they have until there is a new one.
 std::vector<routing::AddressCandidate>
 TrafficThread::addresses(std::size_t Most) {
-  return this->Advisor.advise(this->Fleet.EntryVms, this->isReady(),
-                              this->Time.monotonicNow(), Most);
+  if (!this->Book.fleet().isKnown())
+    return {};
+  const auto Now = this->Time.monotonicNow();
+  const std::vector<routing::AddressCandidate> &Known = this->Fleet.EntryVms;
+  std::vector<routing::AddressCandidate> Placed{Known.front()};
+  std::ranges::copy_if(
+      Known.begin() + 1, Known.end(), std::back_inserter(Placed),
+      [&](const auto &Each) { return this->Fleet.Placed.contains(Each.Vm); });
+  const bool IsPlaced = this->Book.fleet().IsPlaced && this->isReady();
+  auto Named = this->Advisor.advise(Placed, IsPlaced, Now, Most);
+  if (!Named.empty())
+    return Named;
+  // All that were placed are silent; the others take over.
+  return this->Advisor.advise(Known, this->isReady(), Now, Most);
 }
 
 } // namespace acaciacross::node
--- a/Source/Node/TrafficThread.h
+++ b/Source/Node/TrafficThread.h
@@ -51,10 +51,14 @@
   /// New connections are refused.
   void closeToCallers();
   std::size_t activeRequests() const;
+  /// How long the thread has waited since its start.
+  std::chrono::nanoseconds waited() const;
 
 private:
   bool isReady() const override;
   std::vector<routing::AddressCandidate> addresses(std::size_t Most) override;
+  /// Takes over this VM's place in the fleet.
+  void takePart();
 
   const common::Clock &Time;
   net::EventLoop Loop;
--- a/Source/Peering/DatagramCodec.cpp
+++ b/Source/Peering/DatagramCodec.cpp
@@ -6,6 +6,7 @@
 #include "Peering/WireWriter.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace acaciacross::peering {
 
@@ -38,6 +39,11 @@
   return Count;
 }
 
+std::uint16_t clampedNumber(unsigned Value) {
+  return static_cast<std::uint16_t>(
+      std::min<unsigned>(Value, std::numeric_limits<std::uint16_t>::max()));
+}
+
 void writeStatus(WireWriter &Out, const MemberStatus &Status, bool IsAck) {
   Out.name(Status.Vm.Value, MaxNameBytes);
   Out.number(Status.Run.Value);
@@ -51,6 +57,8 @@
   const auto Age = std::clamp(Status.ServiceAnswerAge,
                               std::chrono::milliseconds(0), MaxAnswerAge);
   Out.number(static_cast<std::uint16_t>(Age.count()));
+  Out.number(clampedNumber(Status.CapacityMilliCores));
+  Out.number(clampedNumber(Status.BusyPerMille));
 }
 
 void writeUpdate(WireWriter &Out, const MemberUpdate &Update) {
@@ -72,16 +80,16 @@
   WireWriter Out(Kind);
   Out.number(Sequence);
   writeStatus(Out, Content.Sender, Kind == MessageKind::ProbeAck);
-  constexpr std::size_t CountBytes = 4;
+  constexpr std::size_t CountBytes = 2;
   std::size_t Room = MaxDatagramBytes - CountBytes - Out.size();
   const std::size_t Updates =
       fitting(Content.Updates, membership::MaxMemberUpdates, Room);
   const std::size_t Notices =
       fitting(Content.Drains, membership::MaxDrainNotices, Room);
-  Out.number(static_cast<std::uint16_t>(Updates));
+  Out.number(static_cast<std::uint8_t>(Updates));
   for (std::size_t Index = 0; Index < Updates; ++Index)
     writeUpdate(Out, Content.Updates[Index]);
-  Out.number(static_cast<std::uint16_t>(Notices));
+  Out.number(static_cast<std::uint8_t>(Notices));
   for (std::size_t Index = 0; Index < Notices; ++Index)
     writeNotice(Out, Content.Drains[Index]);
   return Out.bytes();
@@ -109,6 +117,8 @@
       std::chrono::milliseconds(In.number<std::uint16_t>());
   if (Status.ServiceAnswerAge > MaxAnswerAge)
     throw PeerMessageError("an age of an answer over the limit");
+  Status.CapacityMilliCores = In.number<std::uint16_t>();
+  Status.BusyPerMille = In.number<std::uint16_t>();
   return Status;
 }
 
@@ -133,10 +143,10 @@
 Heartbeat readHeartbeat(WireReader &In) {
   Heartbeat Content;
   Content.Sender = readStatus(In);
-  const std::size_t Updates = In.count(membership::MaxMemberUpdates);
+  const std::size_t Updates = In.smallCount(membership::MaxMemberUpdates);
   for (std::size_t Index = 0; Index < Updates; ++Index)
     Content.Updates.push_back(readUpdate(In));
-  const std::size_t Notices = In.count(membership::MaxDrainNotices);
+  const std::size_t Notices = In.smallCount(membership::MaxDrainNotices);
   for (std::size_t Index = 0; Index < Notices; ++Index)
     Content.Drains.push_back(readNotice(In));
   In.finish();
--- a/Source/Peering/MessageLimits.h
+++ b/Source/Peering/MessageLimits.h
@@ -10,7 +10,7 @@
 namespace acaciacross::peering {
 
 /// Raised with every change of the encoding; other versions are dropped.
-constexpr std::uint8_t MessageVersion = 2;
+constexpr std::uint8_t MessageVersion = 3;
 
 /// Below the usual path MTU of 1,500, so that no datagram is fragmented.
 constexpr std::size_t MaxDatagramBytes = 1200;
--- a/Source/Peering/WireReader.cpp
+++ b/Source/Peering/WireReader.cpp
@@ -41,7 +41,14 @@
 }
 
 std::size_t WireReader::count(std::size_t Max) {
-  const auto Count = this->number<std::uint16_t>();
+  return checked(this->number<std::uint16_t>(), Max);
+}
+
+std::size_t WireReader::smallCount(std::size_t Max) {
+  return checked(this->number<std::uint8_t>(), Max);
+}
+
+std::size_t WireReader::checked(std::size_t Count, std::size_t Max) {
   if (Count > Max)
     throw PeerMessageError(std::to_string(Count) +
                            " entries, over the limit of " +
--- a/Source/Peering/WireReader.h
+++ b/Source/Peering/WireReader.h
@@ -34,11 +34,14 @@
   common::Address address();
   /// A count of list entries.
   std::size_t count(std::size_t Max);
+  /// The same in one byte, for lists of at most 255 entries.
+  std::size_t smallCount(std::size_t Max);
 
   /// Call last: bytes after the message are an error.
   void finish();
 
 private:
+  static std::size_t checked(std::size_t Count, std::size_t Max);
   std::string rawBytes(std::size_t Length, std::size_t MaxBytes);
 
   std::istringstream Stream;
--- /dev/null
+++ b/Source/Routing/LoadPlacement.cpp
@@ -0,0 +1,89 @@
+#include "Routing/LoadPlacement.h"
+
+#include "Common/Hash.h"
+#include "Membership/FleetLimits.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace acaciacross::routing {
+
+namespace {
+
+// One of them may be lost or restarted while the other serves.
+constexpr std::size_t VmsPerDomain = 2;
+// At twice this load queries still do not wait for the processor, so there is
+// time to place more VMs in a burst.
+constexpr double TargetBusy = 0.35;
+// A VM that leaves the set gives up its connections, so the set shrinks only
+// when a lower load has lasted.
+constexpr std::chrono::seconds HoldTime{10};
+
+struct Ranked {
+  /// Larger VMs first, then one of each failure domain in turn.
+  std::tuple<unsigned, std::size_t, std::uint64_t> Rank;
+  const PlacementCandidate *Candidate;
+};
+
+std::vector<Ranked>
+rankedBySize(std::span<const PlacementCandidate> Serving) {
+  std::vector<std::pair<std::uint64_t, const PlacementCandidate *>> ByHash;
+  for (const PlacementCandidate &Each : Serving)
+    ByHash.emplace_back(common::stableHash(Each.Vm.Value), &Each);
+  std::ranges::sort(ByHash);
+  std::map<std::pair<unsigned, std::string>, std::size_t> SeenInDomain;
+  std::vector<Ranked> Order;
+  for (const auto &[Hash, Each] : ByHash) {
+    const std::size_t Turn =
+        SeenInDomain[{Each->CapacityMilliCores, Each->FailureDomain}]++;
+    Order.push_back({{~Each->CapacityMilliCores, Turn, Hash}, Each});
+  }
+  std::ranges::sort(Order, {}, &Ranked::Rank);
+  return Order;
+}
+
+} // namespace
+
+std::set<common::VmId>
+LoadPlacement::choose(std::span<const PlacementCandidate> Serving,
+                      common::MonotonicTime Now) {
+  const double Needed = this->needed(Serving, Now);
+  std::set<std::string> Domains;
+  for (const PlacementCandidate &Each : Serving)
+    Domains.insert(Each.FailureDomain);
+  // In a fleet that is probed whole every VM knows the others, and a part of
+  // the connections of each searcher is enough for all.
+  const bool IsSmall = Serving.size() <= membership::SmallFleetPeers;
+  const std::size_t Least =
+      IsSmall ? Serving.size() : VmsPerDomain * Domains.size();
+  std::set<common::VmId> Chosen;
+  double Capacity = 0.0;
+  for (const Ranked &Each : rankedBySize(Serving)) {
+    if (Chosen.size() >= Least && Capacity >= Needed)
+      break;
+    Chosen.insert(Each.Candidate->Vm);
+    Capacity += Each.Candidate->CapacityMilliCores;
+  }
+  return Chosen;
+}
+
+double LoadPlacement::needed(std::span<const PlacementCandidate> Serving,
+                             common::MonotonicTime Now) {
+  constexpr double Whole = 1'000.0;
+  double Used = 0.0;
+  for (const PlacementCandidate &Each : Serving)
+    Used += Each.CapacityMilliCores * (Each.BusyPerMille / Whole);
+  const double Needed = Used / TargetBusy;
+  if (Needed >= this->Held || Now - this->HeldSince > HoldTime) {
+    this->Held = Needed;
+    this->HeldSince = Now;
+  }
+  return this->Held;
+}
+
+} // namespace acaciacross::routing
--- a/Source/UnitTests/Forwarding/ExecutionFixture.h
+++ b/Source/UnitTests/Forwarding/ExecutionFixture.h
@@ -23,7 +23,7 @@
 /// with a target of 120 ms and a time of 1 s.
 class ExecutionFixture : public testing::Test, public AnswerSink {
 protected:
-  ExecutionFixture() { this->Book.setVmCount(1); }
+  ExecutionFixture() { this->Book.setFleet({1, 1, 0, true}); }
 
   void list(std::size_t Services, std::size_t ReplicasEach) {
     std::vector<SearcherEntry> Entries;
--- a/Source/UnitTests/Gateway/ConnectionShareTest.cpp
+++ b/Source/UnitTests/Gateway/ConnectionShareTest.cpp
@@ -12,7 +12,7 @@
         1, std::vector<forwarding::Route>(),
         std::map{std::pair{common::ServiceName("s"), Accepted}},
         forwarding::CallerLimits()));
-    Book.setVmCount(Vms);
+    Book.setFleet({Vms, Vms, 0, true});
     forwarding::SearcherEntry Searcher;
     Searcher.Service = common::ServiceName("s");
     Searcher.Slots = Slots;
