Forwarding: placed VMs have half of the fleet's fixed part of repeats

Cause: the fixed part was divided by all VMs of the fleet, so that in a fleet with 61 of 69 VMs on standby a placed VM had 2 extra arrivals a window and service before it had seen requests, too few for a hedge while it keeps 30% back. Ruled out: dividing by the placed VMs alone; two sets of them in one window, as in a rolling stop, would exceed the bound.

--- a/Source/Forwarding/FleetPart.h
+++ b/Source/Forwarding/FleetPart.h
@@ -20,6 +20,8 @@
   bool isKnown() const {
     return this->VmCount != std::numeric_limits<unsigned>::max();
   }
+  /// This VM's part, 0 to 1, of what is counted for the whole fleet.
+  double ofFleet() const;
 };
 
 } // namespace acaciacross::forwarding
--- a/Source/Forwarding/RepeatBudget.cpp
+++ b/Source/Forwarding/RepeatBudget.cpp
@@ -25,12 +25,12 @@
   ++this->Recent[static_cast<std::size_t>(this->Present) % Slices].Extras;
 }
 
-bool RepeatBudget::withdraw(common::MonotonicTime Now, unsigned VmCount,
+bool RepeatBudget::withdraw(common::MonotonicTime Now, const FleetPart &Part,
                             double KeepBack) {
   std::uint64_t Extras = 0;
   for (const Slice &Each : this->Recent)
     Extras += Each.Extras;
-  const double Left = this->left(Now, VmCount);
+  const double Left = this->left(Now, Part);
   const double Whole = Left + static_cast<double>(Extras);
   if (Left < 1.0 + KeepBack * Whole)
     return false;
@@ -38,7 +38,7 @@
   return true;
 }
 
-double RepeatBudget::left(common::MonotonicTime Now, unsigned VmCount) {
+double RepeatBudget::left(common::MonotonicTime Now, const FleetPart &Part) {
   this->advance(Now);
   std::uint64_t Requests = 0;
   std::uint64_t Extras = 0;
@@ -46,8 +46,7 @@
     Requests += Each.Requests;
     Extras += Each.Extras;
   }
-  const double Fixed =
-      this->Bounds.FixedPerWindow / static_cast<double>(std::max(1U, VmCount));
+  const double Fixed = this->Bounds.FixedPerWindow * Part.ofFleet();
   const double Allowed =
       UsablePart * (this->Bounds.Ratio * static_cast<double>(Requests) + Fixed);
   return Allowed - static_cast<double>(Extras);
--- a/Source/Forwarding/RepeatBudget.h
+++ b/Source/Forwarding/RepeatBudget.h
@@ -2,6 +2,7 @@
 #define ACACIACROSS_FORWARDING_REPEATBUDGET_H
 
 #include "Common/Time.h"
+#include "Forwarding/FleetPart.h"
 #include "Forwarding/RepeatBudgetSettings.h"
 
 #include <array>
@@ -22,11 +23,12 @@
   void noteRequest(common::MonotonicTime Now);
   /// Takes one extra arrival; false when the budget is used up. KeepBack: share
   /// of the budget, 0 to 1, that must stay for more important repeats.
-  bool withdraw(common::MonotonicTime Now, unsigned VmCount, double KeepBack);
+  bool withdraw(common::MonotonicTime Now, const FleetPart &Part,
+                double KeepBack);
   /// An extra arrival that could not be asked for beforehand.
   void noteExtra(common::MonotonicTime Now);
   /// Extra arrivals that may still be sent in the present window.
-  double left(common::MonotonicTime Now, unsigned VmCount);
+  double left(common::MonotonicTime Now, const FleetPart &Part);
 
 private:
   struct Slice {
--- a/Source/Forwarding/RequestLeg.cpp
+++ b/Source/Forwarding/RequestLeg.cpp
@@ -76,7 +76,7 @@
   const std::shared_ptr<ReplicaRecord> Replica = this->choose();
   if (Replica == nullptr ||
       !this->Tools.Services.budget(this->Service)
-           .withdraw(Now, this->Tools.Services.fleet().VmCount, KeptForRepeats))
+           .withdraw(Now, this->Tools.Services.fleet(), KeptForRepeats))
     return;
   this->Hedged = true;
   this->launch(Replica);
@@ -139,7 +139,7 @@
   }
   if (this->Sent > 0 &&
       !this->Tools.Services.budget(this->Service)
-           .withdraw(Now, this->Tools.Services.fleet().VmCount, 0.0)) {
+           .withdraw(Now, this->Tools.Services.fleet(), 0.0)) {
     this->State = LegState::Exhausted;
     return;
   }
--- a/Source/Node/MetricsSource.cpp
+++ b/Source/Node/MetricsSource.cpp
@@ -52,7 +52,7 @@
     const std::string Label = "{service=\"" + Each.Value + "\"} ";
     Page << "acaciacross_repeat_budget_left" << Label
          << this->Book.budget(Each).left(this->Time.monotonicNow(),
-                                         this->Book.fleet().VmCount)
+                                         this->Book.fleet())
          << "\nacaciacross_searchers" << Label
          << this->Book.replicas(Each).size() << "\nacaciacross_waiting" << Label
          << this->Port.waiting(Each) << '\n';
--- a/Source/UnitTests/Forwarding/RepeatBudgetTest.cpp
+++ b/Source/UnitTests/Forwarding/RepeatBudgetTest.cpp
@@ -11,8 +11,12 @@
 class RepeatBudgetTest : public testing::Test {
 protected:
   unsigned withdrawAll(unsigned VmCount, double KeepBack = 0.0) {
+    return this->withdrawAll(FleetPart{VmCount, VmCount, 0, true}, KeepBack);
+  }
+
+  unsigned withdrawAll(const FleetPart &Part, double KeepBack = 0.0) {
     unsigned Taken = 0;
-    while (this->Budget.withdraw(this->Time.monotonicNow(), VmCount, KeepBack))
+    while (this->Budget.withdraw(this->Time.monotonicNow(), Part, KeepBack))
       ++Taken;
     return Taken;
   }
@@ -33,6 +37,19 @@
   EXPECT_LE(9 * this->withdrawAll(9), 0.2 * 900 + 60);
 }
 
+// In a fleet where most VMs stand by, an equal part for each left the placed
+// ones without a hedge in the first seconds after a loss of power.
+TEST_F(RepeatBudgetTest, PlacedVmMayHedgeBeforeItHasSeenRequests) {
+  EXPECT_GE(this->withdrawAll(FleetPart{69, 8, 61, true}, 0.3), 2U);
+}
+
+TEST_F(RepeatBudgetTest, TwoSetsOfPlacedVmsAndTheOthersStayBelowTheBound) {
+  const FleetPart Placed{69, 8, 61, true};
+  const FleetPart Standby{69, 8, 61, false};
+  EXPECT_LE(8 * Placed.ofFleet() + 61 * Standby.ofFleet(), 1.0);
+  EXPECT_LE(2 * 8 * Placed.ofFleet(), 1.0);
+}
+
 TEST_F(RepeatBudgetTest, ExtrasCountForAWholeWindow) {
   const unsigned First = this->withdrawAll(1);
   EXPECT_GT(First, 50U);
