Discovery: a peer that knows no answer of the store does not end the wait

Cause: each of 69 VMs that started together watched the store for 4.6 s, seen in the times of ReaderChanged events. Peers that know no answer say an age of one minute, which was taken for an answer that is too old.

--- a/Source/Discovery/ReadingDuty.cpp
+++ b/Source/Discovery/ReadingDuty.cpp
@@ -44,8 +44,10 @@
     this->CompleteAt = Now;
   // A VM that has just started gives its peers time to tell of their answers;
   // otherwise a whole fleet that starts would watch the store.
-  const bool IsNew = !this->AnsweredAt && Now - *this->CompleteAt <= PeerTime;
-  if (!IsNew && this->answerAge(Now) > this->OldestAnswer)
+  const std::chrono::milliseconds Age = this->answerAge(Now);
+  const bool IsNew =
+      Age >= LongestAge && Now - *this->CompleteAt <= PeerTime;
+  if (!IsNew && Age > this->OldestAnswer)
     this->ReadsUntil = Now + LeastReading;
   return Now < this->ReadsUntil;
 }
--- a/Source/UnitTests/Discovery/ReadingDutyTest.cpp
+++ b/Source/UnitTests/Discovery/ReadingDutyTest.cpp
@@ -40,6 +40,8 @@
 // In a fleet of 69 that started together each VM watched the store for 4 s.
 TEST_F(ReadingDutyTest, VmThatHasJustReadAllWaitsForItsPeers) {
   EXPECT_TRUE(this->mustRead(false, false));
+  // What a peer says that has heard of no answer either.
+  this->Duty.noteAnswer(this->Time.monotonicNow() - milliseconds(60'000));
   EXPECT_FALSE(this->mustRead());
   this->Time.advance(milliseconds(1'400));
   EXPECT_FALSE(this->mustRead());
