Node: elect readers of the store also before the first configuration

Cause: in a fleet that starts for the first time no VM serves until it knows a configuration, so no reader was elected, and after 1.5 s all VMs watched for 4 s. Seen in the times of ReaderChanged events.

--- a/Source/Fleet/FleetAgent.cpp
+++ b/Source/Fleet/FleetAgent.cpp
@@ -189,6 +189,8 @@
 void FleetAgent::place(FleetView &View, common::MonotonicTime Now) {
   std::vector<routing::PlacementCandidate> Candidates;
   const auto Add = [&](const membership::MemberStatus &Status) {
+    if (Status.State != membership::ServingState::Leaving)
+      View.Live.push_back(Status.Vm);
     if (Status.State == membership::ServingState::Serving)
       Candidates.push_back({Status.Vm, Status.FailureDomain,
                             Status.CapacityMilliCores, Status.BusyPerMille});
--- a/Source/Fleet/FleetView.h
+++ b/Source/Fleet/FleetView.h
@@ -14,7 +14,9 @@
   std::vector<routing::AddressCandidate> EntryVms;
   /// All VMs that serve and are not known to be lost, with this one.
   std::vector<common::VmId> Serving;
-  /// Those of them that take callers.
+  /// The same with those that do not serve yet.
+  std::vector<common::VmId> Live;
+  /// Those that take callers.
   std::set<common::VmId> Placed;
   /// VMs that may hold connections to searchers or have sent requests in the
   /// last window of the repeat budget, with this one; FleetSizeMemory::Unknown
--- a/Source/Node/ControlSide.cpp
+++ b/Source/Node/ControlSide.cpp
@@ -2,6 +2,7 @@
 
 #include "Configuration/ReaderElection.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace acaciacross::node {
@@ -157,11 +158,15 @@
 // the others soon hear of an answer. One election for the whole fleet: a VM that hears of no fresh answer reads
 // the store itself, so readers in each failure domain are not needed.
 bool ControlSide::isElected(const fleet::FleetView &View) const {
-  if (!this->IsServing)
-    return false;
   std::vector<configuration::ReaderCandidate> Live;
-  for (const common::VmId &Each : View.Placed)
+  const auto Add = [&](const common::VmId &Each) {
     Live.push_back({Each, "", membership::ServingState::Serving});
+  };
+  // Before the first configuration no VM serves, and somebody must wait for it.
+  if (View.Placed.empty())
+    std::ranges::for_each(View.Live, Add);
+  else
+    std::ranges::for_each(View.Placed, Add);
   return configuration::ReaderElection::readers(Live).contains(
       View.EntryVms.front().Vm);
 }
