--- a/Source/Discovery/ReadingDuty.cpp
+++ b/Source/Discovery/ReadingDuty.cpp
@@ -7,8 +7,8 @@
 namespace {
 
 // A reader's watch lasts 1.5 s at most, and its age takes two rounds of probes
-// to spread: 2.1 s of the 3 s in which changes must be in effect. The first call
-// of this VM takes some of the rest.
+// to spread: 2.1 s of the 3 s in which changes must be in effect. The first
+// call of this VM takes some of the rest.
 constexpr double OldestAnswerPart = 0.7;
 // Readers are heard of within two rounds of probes once they have read.
 constexpr std::chrono::milliseconds PeerTime{1'500};
@@ -45,8 +45,7 @@
   // A VM that has just started gives its peers time to tell of their answers;
   // otherwise a whole fleet that starts would watch the store.
   const std::chrono::milliseconds Age = this->answerAge(Now);
-  const bool IsNew =
-      Age >= LongestAge && Now - *this->CompleteAt <= PeerTime;
+  const bool IsNew = Age >= LongestAge && Now - *this->CompleteAt <= PeerTime;
   if (!IsNew && Age > this->OldestAnswer)
     this->ReadsUntil = Now + LeastReading;
   return Now < this->ReadsUntil;
--- a/Source/Discovery/StoreFollower.cpp
+++ b/Source/Discovery/StoreFollower.cpp
@@ -35,19 +35,18 @@
   return this->Known ? this->watch(Store) : this->readAll(Store);
 }
 
-// Pages are no snapshot, so changes are taken from the oldest revision of a page
-// on; a change that another page already shows is applied twice. The first read
-// after the start may be stale: it is a tenth of the price, and what has changed
-// since comes from the watch or from peers. Later ones may not, or the history
-// that was lost could be missing again.
+// Pages are no snapshot, so changes are taken from the oldest revision of a
+// page on; a change that another page already shows is applied twice. The first
+// read after the start may be stale: it is a tenth of the price, and what has
+// changed since comes from the watch or from peers. Later ones may not, or the
+// history that was lost could be missing again.
 std::chrono::milliseconds StoreFollower::readAll(StoreReader &Store) {
   const ReadAge Age = this->HasRead ? ReadAge::Newest : ReadAge::MayBeStale;
   std::vector<StoreItem> Items;
   std::optional<std::uint64_t> Revision;
   bool HasMore = true;
   while (HasMore) {
-    StorePage Page =
-        Store.readPage(Items.empty() ? "" : Items.back().Key, Age);
+    StorePage Page = Store.readPage(Items.empty() ? "" : Items.back().Key, Age);
     if (Page.Status != StoreStatus::Answered)
       return this->onFailure(Page.Problem);
     Revision = std::min(Revision.value_or(Page.Revision), Page.Revision);
--- a/Source/Fleet/ChangeRelay.cpp
+++ b/Source/Fleet/ChangeRelay.cpp
@@ -57,9 +57,8 @@
       logging::LogRecord(common::LogEvent::ConfigurationPulled)
           .text("from", From.toString())
           .number("changes", static_cast<std::int64_t>(Message.Changes.size()))
-          .number("revision",
-                  static_cast<std::int64_t>(
-                      Message.Changes.back().Number.Value))
+          .number("revision", static_cast<std::int64_t>(
+                                  Message.Changes.back().Number.Value))
           .flag("complete", Message.CompleteAt.has_value()));
   if (Message.CompleteAt)
     this->takeAll(Message.Changes, Message.CompleteAt->Value);
--- a/Source/Fleet/ChangeRelay.h
+++ b/Source/Fleet/ChangeRelay.h
@@ -35,9 +35,8 @@
   void onChanges(const common::Address &From,
                  const peering::ConfigurationChangesMessage &Message) override;
   void onPullFailed(const common::Address &From) override;
-  void
-  takeAll(const std::vector<configuration::ConfigurationChange> &Changes,
-          std::uint64_t Revision);
+  void takeAll(const std::vector<configuration::ConfigurationChange> &Changes,
+               std::uint64_t Revision);
   void
   takeNewer(const std::vector<configuration::ConfigurationChange> &Changes);
 
--- a/Source/Fleet/FleetAgent.cpp
+++ b/Source/Fleet/FleetAgent.cpp
@@ -42,7 +42,7 @@
                        const FleetFacts &Told, routing::PlacementRule &Placing)
     : ACE_Event_Handler(&Events), Settings(std::move(Identity)),
       Time(PauseTime), Log(Journal), Listener(Receiver), Facts(Told),
-      Placement(Placing),       Fleet(this->Settings.Vm), Hints(this->Settings.Peers),
+      Placement(Placing), Fleet(this->Settings.Vm), Hints(this->Settings.Peers),
       Socket(this->Settings.Peers, Events, *this, PauseTime),
       Probes(this->Socket, RandomNumbers), Size(this->Settings.SizeWindow) {
   this->addSeeds(this->Settings.Seeds);
--- a/Source/Fleet/FleetFacts.h
+++ b/Source/Fleet/FleetFacts.h
@@ -6,7 +6,8 @@
 
 namespace acaciacross::fleet {
 
-/// What this VM tells its peers of the store and of its load. On the control thread.
+/// What this VM tells its peers of the store and of its load. On the control
+/// thread.
 class FleetFacts {
 public:
   virtual ~FleetFacts() = default;
--- a/Source/Membership/Prober.h
+++ b/Source/Membership/Prober.h
@@ -24,8 +24,8 @@
   /// stays fresh; the rest is sampled.
   void setPreferred(std::vector<common::Address> Peers);
   /// Sends one round to the peers and hinted addresses.
-  void tick(common::MonotonicTime Now, FleetTable &Fleet,
-            AddressHints &Hints, const Heartbeat &Content);
+  void tick(common::MonotonicTime Now, FleetTable &Fleet, AddressHints &Hints,
+            const Heartbeat &Content);
 
   /// When the acknowledged probe was sent; empty when the acknowledgement is
   /// no evidence: the probe is unknown, expired, already acknowledged, or was
--- a/Source/Node/ControlSide.cpp
+++ b/Source/Node/ControlSide.cpp
@@ -154,9 +154,10 @@
   return this->Duty.answerAge(this->Time.monotonicNow());
 }
 
-// The VMs that take callers are those that their peers probe most often, so that
-// the others soon hear of an answer. One election for the whole fleet: a VM that hears of no fresh answer reads
-// the store itself, so readers in each failure domain are not needed.
+// The VMs that take callers are those that their peers probe most often, so
+// that the others soon hear of an answer. One election for the whole fleet: a
+// VM that hears of no fresh answer reads the store itself, so readers in each
+// failure domain are not needed.
 bool ControlSide::isElected(const fleet::FleetView &View) const {
   std::vector<configuration::ReaderCandidate> Live;
   const auto Add = [&](const common::VmId &Each) {
--- a/Source/Peering/TransferCodec.h
+++ b/Source/Peering/TransferCodec.h
@@ -17,8 +17,9 @@
 /// Throws PeerMessageError.
 ConfigurationPullMessage decodePull(std::string_view Bytes);
 
-/// Encodes as many changes from the front as fit into MaxChangesBytes; when some
-/// do not fit, the message does not count as complete. Throws PeerMessageError.
+/// Encodes as many changes from the front as fit into MaxChangesBytes; when
+/// some do not fit, the message does not count as complete. Throws
+/// PeerMessageError.
 std::string
 encodeChanges(const std::vector<configuration::ConfigurationChange> &Changes,
               std::optional<common::Revision> CompleteAt = std::nullopt);
--- a/Source/Programs/OperatorCli/Program/main.cpp
+++ b/Source/Programs/OperatorCli/Program/main.cpp
@@ -1,5 +1,6 @@
 #include "Programs/OperatorCli/CheckReport.h"
 #include "Programs/OperatorCli/DocumentCheck.h"
+#include "Programs/OperatorCli/LogSummary.h"
 #include "Programs/OperatorCli/PageFetch.h"
 #include "Programs/OperatorCli/PageTables.h"
 #include "Programs/OperatorCli/RequestStory.h"
@@ -32,6 +33,10 @@
     "  acaciacross-ctl explain [--json] REQUEST-ID [LOG...]\n"
     "    what the logs of VMs say of one request, by time; logs from standard\n"
     "    input when no file is named\n"
+    "  acaciacross-ctl summary [--json] [LOG...]\n"
+    "    what the logs of VMs say of requests that were refused, late, "
+    "failed,\n"
+    "    abandoned or answered in part: by reason, second and searcher\n"
     "exit status: 0 done or all valid, 2 wrong use, 3 a file is not valid,\n"
     "4 a file cannot be read, 5 the entry VM gave no usable answer, 6 no line\n"
     "of a log names the request";
@@ -82,20 +87,37 @@
   return ExitStatus::Ok;
 }
 
+/// Has the reader take the named logs, or standard input when none is named;
+/// false when one cannot be read.
+template <typename Reader>
+bool readLogs(const std::vector<std::string> &Files, Reader &Into) {
+  for (const std::string &Name : Files) {
+    std::ifstream Log(Name);
+    if (!Log) {
+      std::cerr << "acaciacross-ctl: " << Name << " cannot be read\n";
+      return false;
+    }
+    Into.read(Log);
+  }
+  if (Files.empty())
+    Into.read(std::cin);
+  return true;
+}
+
+ExitStatus summarize(const std::vector<std::string> &Files) {
+  LogSummary Summary;
+  if (!readLogs(Files, Summary))
+    return ExitStatus::FileUnreadable;
+  std::cout << (FLAGS_json ? Summary.json() + "\n" : Summary.text());
+  return ExitStatus::Ok;
+}
+
 ExitStatus explain(const std::vector<std::string> &Arguments) {
   if (Arguments.empty())
     return refuseUse("explain: no request is named");
   RequestStory Story(Arguments.front());
-  for (auto Name = Arguments.begin() + 1; Name != Arguments.end(); ++Name) {
-    std::ifstream Log(*Name);
-    if (!Log) {
-      std::cerr << "acaciacross-ctl: " << *Name << " cannot be read\n";
-      return ExitStatus::FileUnreadable;
-    }
-    Story.read(Log);
-  }
-  if (Arguments.size() == 1)
-    Story.read(std::cin);
+  if (!readLogs({Arguments.begin() + 1, Arguments.end()}, Story))
+    return ExitStatus::FileUnreadable;
   if (Story.isEmpty()) {
     std::cerr << "acaciacross-ctl: no line names " << Arguments.front() << '\n';
     return ExitStatus::RequestUnknown;
@@ -111,6 +133,8 @@
     return check({Arguments.begin() + 1, Arguments.end()});
   if (Arguments.front() == "explain")
     return explain({Arguments.begin() + 1, Arguments.end()});
+  if (Arguments.front() == "summary")
+    return summarize({Arguments.begin() + 1, Arguments.end()});
   const auto Found = pageCommands().find(Arguments.front());
   if (Found == pageCommands().end() || Arguments.size() > 1)
     return refuseUse(Usage);
--- a/Source/Routing/LoadPlacement.cpp
+++ b/Source/Routing/LoadPlacement.cpp
@@ -30,8 +30,7 @@
   const PlacementCandidate *Candidate;
 };
 
-std::vector<Ranked>
-rankedBySize(std::span<const PlacementCandidate> Serving) {
+std::vector<Ranked> rankedBySize(std::span<const PlacementCandidate> Serving) {
   std::vector<std::pair<std::uint64_t, const PlacementCandidate *>> ByHash;
   for (const PlacementCandidate &Each : Serving)
     ByHash.emplace_back(common::stableHash(Each.Vm.Value), &Each);
--- a/Source/UnitTests/Discovery/StoreFollowerTest.cpp
+++ b/Source/UnitTests/Discovery/StoreFollowerTest.cpp
@@ -59,12 +59,11 @@
   EXPECT_EQ(this->Store.WatchesAfter, std::vector<std::uint64_t>{10});
 }
 
-// Stale pages may differ in age: what changed between an older second page and a
-// newer first one would be missed.
+// Stale pages may differ in age: what changed between an older second page and
+// a newer first one would be missed.
 TEST_F(StoreFollowerTest, WatchBeginsAtTheOldestOfStalePages) {
-  this->Store.Pages = {
-      {StoreStatus::Answered, {{"a", "1", 5}}, true, 10, ""},
-      {StoreStatus::Answered, {{"b", "1", 4}}, false, 7, ""}};
+  this->Store.Pages = {{StoreStatus::Answered, {{"a", "1", 5}}, true, 10, ""},
+                       {StoreStatus::Answered, {{"b", "1", 4}}, false, 7, ""}};
   this->Follower.step(this->Store, 0);
   this->Follower.step(this->Store, 0);
   EXPECT_EQ(this->Store.WatchesAfter, std::vector<std::uint64_t>{7});
--- a/Source/UnitTests/Routing/LoadPlacementTest.cpp
+++ b/Source/UnitTests/Routing/LoadPlacementTest.cpp
@@ -14,9 +14,9 @@
 protected:
   void add(const std::string &Name, int Count, unsigned MilliCores) {
     for (int I = 0; I < Count; ++I)
-      this->Serving.push_back(
-          {common::VmId(Name + std::to_string(I)),
-           "domain-" + std::to_string(I % 4), MilliCores, 0});
+      this->Serving.push_back({common::VmId(Name + std::to_string(I)),
+                               "domain-" + std::to_string(I % 4), MilliCores,
+                               0});
   }
 
   std::set<common::VmId> choose() {
