--- a/Source/Fleet/ChangeRelay.cpp
+++ b/Source/Fleet/ChangeRelay.cpp
@@ -70,6 +70,7 @@
     const std::vector<configuration::ConfigurationChange> &Changes,
     std::uint64_t Revision) {
   std::vector<discovery::StoreItem> Items;
+  Items.reserve(Changes.size());
   for (const configuration::ConfigurationChange &Each : Changes)
     Items.push_back({Each.Key, Each.Text, Each.Number.Value});
   this->Published.onSnapshot(std::move(Items), Revision);
--- a/Source/Programs/OperatorCli/RequestStory.cpp
+++ b/Source/Programs/OperatorCli/RequestStory.cpp
@@ -14,12 +14,28 @@
 using json::JsonNode;
 
 // In the order in which they are read best; others are not about requests.
-constexpr std::array<const char *, 21> Fields = {
-    "vm",          "route",      "version",        "status",   "result",
-    "reason",      "missing",    "target_ms",      "limit_ms", "waited_ms",
-    "expected_ms", "allowed_ms", "retry_after_ms", "attempts", "service",
-    "searcher",    "end",        "abandoned",      "took_ms",  "kind",
-    "searchers"};
+constexpr std::array<const char *, 22> Fields = {"vm",
+                                                 "route",
+                                                 "version",
+                                                 "status",
+                                                 "result",
+                                                 "reason",
+                                                 "missing",
+                                                 "target_ms",
+                                                 "limit_ms",
+                                                 "waited_ms",
+                                                 "waited_before_ms",
+                                                 "expected_ms",
+                                                 "allowed_ms",
+                                                 "retry_after_ms",
+                                                 "attempts",
+                                                 "service",
+                                                 "searcher",
+                                                 "end",
+                                                 "abandoned",
+                                                 "took_ms",
+                                                 "kind",
+                                                 "searchers"};
 
 std::string shown(const JsonNode &Value) {
   if (const auto Text = Value.asString())
