Routing: callers are placed in each failure domain, whatever the size of its VMs

Found while reading: all large VMs may be in one domain, and then its loss took all VMs that took callers, until the others were named 3 s later. Now the two largest of each domain come first.

--- a/Source/Fleet/FleetAgent.cpp
+++ b/Source/Fleet/FleetAgent.cpp
@@ -201,14 +201,15 @@
   for (const routing::PlacementCandidate &Each : Candidates)
     View.Serving.push_back(Each.Vm);
   View.Placed = this->Placement.choose(Candidates, Now);
-  if (View.Placed == this->PlacedBefore)
-    return;
-  this->PlacedBefore = View.Placed;
   std::vector<common::Address> Preferred;
   for (const common::VmId &Vm : View.Placed)
     if (const membership::PeerRecord *Peer = this->Fleet.find(Vm))
       Preferred.push_back(Peer->Peers);
   this->Probes.setPreferred(std::move(Preferred));
+  // While the fleet is learned the set changes with each peer.
+  if (View.Placed == this->PlacedTold || this->Hints.hasUntried())
+    return;
+  this->PlacedTold = View.Placed;
   this->Log.write(
       logging::LogRecord(common::LogEvent::CallersPlaced)
           .number("serving", static_cast<std::int64_t>(Candidates.size()))
--- a/Source/Fleet/FleetAgent.h
+++ b/Source/Fleet/FleetAgent.h
@@ -71,7 +71,8 @@
   FleetViewListener &Listener;
   const FleetFacts &Facts;
   routing::PlacementRule &Placement;
-  std::set<common::VmId> PlacedBefore;
+  /// The set that the log told last.
+  std::set<common::VmId> PlacedTold;
   membership::ServingState State = membership::ServingState::Joining;
   membership::FleetTable Fleet;
   membership::AddressHints Hints;
--- a/Source/Membership/FleetLimits.h
+++ b/Source/Membership/FleetLimits.h
@@ -42,9 +42,9 @@
 constexpr std::size_t SmallFleetRound = 8;
 constexpr std::size_t LargeFleetRound = 3;
 
-/// Of a larger fleet with preferred peers, a round has this many of them and as
-/// many others. Eight preferred peers are probed every 0.6 s, which is within
-/// the evidence limit.
+/// Of a larger fleet with preferred peers, a round has this many of them and
+/// this many others. Eight preferred peers are each probed every 0.6 s, which
+/// is within the evidence limit.
 constexpr std::size_t PreferredPerRound = 3;
 constexpr std::size_t SampledPeers = 1;
 
--- a/Source/Routing/LoadPlacement.cpp
+++ b/Source/Routing/LoadPlacement.cpp
@@ -25,22 +25,25 @@
 constexpr std::chrono::seconds HoldTime{10};
 
 struct Ranked {
-  /// Larger VMs first, then one of each failure domain in turn.
-  std::tuple<unsigned, std::size_t, std::uint64_t> Rank;
+  /// Those that each failure domain needs first, then larger VMs first, then
+  /// one of each failure domain in turn.
+  std::tuple<bool, unsigned, std::size_t, std::uint64_t> Rank;
   const PlacementCandidate *Candidate;
 };
 
-std::vector<Ranked> rankedBySize(std::span<const PlacementCandidate> Serving) {
-  std::vector<std::pair<std::uint64_t, const PlacementCandidate *>> ByHash;
+std::vector<Ranked> ranked(std::span<const PlacementCandidate> Serving) {
+  using BySize =
+      std::tuple<unsigned, std::uint64_t, const PlacementCandidate *>;
+  std::vector<BySize> Sizes;
   for (const PlacementCandidate &Each : Serving)
-    ByHash.emplace_back(common::stableHash(Each.Vm.Value), &Each);
-  std::ranges::sort(ByHash);
-  std::map<std::pair<unsigned, std::string>, std::size_t> SeenInDomain;
+    Sizes.emplace_back(~Each.CapacityMilliCores,
+                       common::stableHash(Each.Vm.Value), &Each);
+  std::ranges::sort(Sizes);
+  std::map<std::string, std::size_t> SeenInDomain;
   std::vector<Ranked> Order;
-  for (const auto &[Hash, Each] : ByHash) {
-    const std::size_t Turn =
-        SeenInDomain[{Each->CapacityMilliCores, Each->FailureDomain}]++;
-    Order.push_back({{~Each->CapacityMilliCores, Turn, Hash}, Each});
+  for (const auto &[Size, Hash, Each] : Sizes) {
+    const std::size_t Turn = SeenInDomain[Each->FailureDomain]++;
+    Order.push_back({{Turn >= VmsPerDomain, Size, Turn, Hash}, Each});
   }
   std::ranges::sort(Order, {}, &Ranked::Rank);
   return Order;
@@ -62,7 +65,7 @@
       IsSmall ? Serving.size() : VmsPerDomain * Domains.size();
   std::set<common::VmId> Chosen;
   double Capacity = 0.0;
-  for (const Ranked &Each : rankedBySize(Serving)) {
+  for (const Ranked &Each : ranked(Serving)) {
     if (Chosen.size() >= Least && Capacity >= Needed)
       break;
     Chosen.insert(Each.Candidate->Vm);
--- a/Source/UnitTests/Routing/LoadPlacementTest.cpp
+++ b/Source/UnitTests/Routing/LoadPlacementTest.cpp
@@ -67,6 +67,20 @@
     EXPECT_EQ(Count, 2) << Domain;
 }
 
+// All large VMs may be in the domain that is lost.
+TEST_F(LoadPlacementTest, EachDomainHasVmsThatTakeCallersWhateverTheirSize) {
+  this->add("small-", 40, 120);
+  for (int I = 0; I < 8; ++I)
+    this->Serving.push_back(
+        {common::VmId("large-" + std::to_string(I)), "domain-0", 500, 0});
+  std::map<std::string, int> PerDomain;
+  for (const common::VmId &Vm : this->choose())
+    for (const PlacementCandidate &Each : this->Serving)
+      if (Each.Vm == Vm)
+        ++PerDomain[Each.FailureDomain];
+  EXPECT_EQ(PerDomain.size(), 4U);
+}
+
 // In a burst the placed VMs alone would be late with everything.
 TEST_F(LoadPlacementTest, BusyVmsGetCompanyAndKeepItForAWhile) {
   this->add("vm-", 60, 120);
