--- a/Source/Programs/OperatorCli/LogSummary.cpp
+++ b/Source/Programs/OperatorCli/LogSummary.cpp
@@ -79,6 +79,7 @@
 
 std::vector<LogSummary::Count> LogSummary::outcomes() const {
   std::vector<Count> Rows;
+  Rows.reserve(this->Outcomes.size());
   for (const auto &[Key, Lines] : this->Outcomes) {
     const auto &[Outcome, Route, Reason] = Key;
     std::string Name = Outcome;
@@ -92,6 +93,7 @@
 std::vector<LogSummary::Count>
 LogSummary::largest(const std::map<std::string, std::uint64_t> &Counts) {
   std::vector<Count> Rows;
+  Rows.reserve(Counts.size());
   for (const auto &[Name, Lines] : Counts)
     Rows.push_back({Name, Lines});
   std::ranges::stable_sort(Rows, std::greater<>(), &Count::Lines);
--- a/Source/UnitTests/Forwarding/ExecutionFixture.h
+++ b/Source/UnitTests/Forwarding/ExecutionFixture.h
@@ -70,7 +70,7 @@
         1, std::vector{Target}, std::map<common::ServiceName, unsigned>(),
         CallerLimits());
     this->Book.setTable(Table);
-    const auto Request = std::make_shared<ForwardRequest>();
+    auto Request = std::make_shared<ForwardRequest>();
     Request->Id = common::RequestId("r1");
     Request->Table = Table;
     Request->Target = &Table->routes().front();
