--- a/Source/UnitTests/Fleet/ChangeRelayTest.cpp
+++ b/Source/UnitTests/Fleet/ChangeRelayTest.cpp
@@ -3,11 +3,12 @@
 #include "Common/SystemClock.h"
 #include "Discovery/ItemDecoder.h"
 
+#include <gtest/gtest.h>
+
 #include <ace/Dev_Poll_Reactor.h>
 #include <ace/Reactor.h>
 #include <arpa/inet.h>
 #include <fcntl.h>
-#include <gtest/gtest.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
--- a/Source/UnitTests/Gateway/ConnectionShareTest.cpp
+++ b/Source/UnitTests/Gateway/ConnectionShareTest.cpp
@@ -39,10 +39,11 @@
 // After a loss of power a searcher counts the connections of the run before
 // together with the new ones.
 TEST_F(ConnectionShareTest, PlacedVmsOfTwoRunsStayBelowTheLimit) {
-  for (unsigned Placed = 2; Placed <= 16; ++Placed)
-    EXPECT_LE(
-        2 * Placed * this->share(66, 100, {69, Placed, 69 - Placed, true}), 66U)
-        << Placed;
+  for (unsigned Placed = 2; Placed <= 16; ++Placed) {
+    const std::size_t Each =
+        this->share(66, 100, {69, Placed, 69 - Placed, true});
+    EXPECT_LE(std::size_t{2} * Placed * Each, 66U) << Placed;
+  }
 }
 
 TEST_F(ConnectionShareTest, VmThatStandsByHasOneConnection) {
