Routing: the choice between placed VMs and those on standby is AddressAdvisor's

Found while reading the diff: which VMs an address answer names was decided in TrafficThread, where no test reached it. AddressCandidate says whether a VM is placed, and the rule has tests.

--- a/Source/Fleet/FleetAgent.cpp
+++ b/Source/Fleet/FleetAgent.cpp
@@ -226,6 +226,8 @@
     View.EntryVms.push_back({Peer->Status.Vm, Peer->Status.Callers,
                              Peer->Status.FailureDomain, Peer->EvidenceAt});
   this->place(View, Now);
+  for (routing::AddressCandidate &Each : View.EntryVms)
+    Each.IsPlaced = View.Placed.contains(Each.Vm);
   this->Size.note(Now,
                   static_cast<unsigned>(1 + this->Fleet.livePeers().size()),
                   this->Hints.hasUntried());
--- a/Source/Node/TrafficThread.cpp
+++ b/Source/Node/TrafficThread.cpp
@@ -1,7 +1,5 @@
 #include "Node/TrafficThread.h"
 
-#include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace acaciacross::node {
@@ -93,7 +91,7 @@
   Part.PlacedCount = static_cast<unsigned>(this->Fleet.Placed.size());
   Part.StandbyCount =
       static_cast<unsigned>(this->Fleet.Serving.size()) - Part.PlacedCount;
-  Part.IsPlaced = this->Fleet.Placed.contains(this->Fleet.EntryVms.front().Vm);
+  Part.IsPlaced = this->Fleet.EntryVms.front().IsPlaced;
   this->Book.setFleet(Part);
   if (WasPlaced && !Part.IsPlaced)
     this->Port.closeIdle();
@@ -110,18 +108,8 @@
 TrafficThread::addresses(std::size_t Most) {
   if (!this->Book.fleet().isKnown())
     return {};
-  const auto Now = this->Time.monotonicNow();
-  const std::vector<routing::AddressCandidate> &Known = this->Fleet.EntryVms;
-  std::vector<routing::AddressCandidate> Placed{Known.front()};
-  std::ranges::copy_if(
-      Known.begin() + 1, Known.end(), std::back_inserter(Placed),
-      [&](const auto &Each) { return this->Fleet.Placed.contains(Each.Vm); });
-  const bool IsPlaced = this->Book.fleet().IsPlaced && this->isReady();
-  auto Named = this->Advisor.advise(Placed, IsPlaced, Now, Most);
-  if (!Named.empty())
-    return Named;
-  // All that were placed are silent; the others take over.
-  return this->Advisor.advise(Known, this->isReady(), Now, Most);
+  return this->Advisor.advise(this->Fleet.EntryVms, this->isReady(),
+                              this->Time.monotonicNow(), Most);
 }
 
 } // namespace acaciacross::node
--- a/Source/Routing/AddressAdvisor.cpp
+++ b/Source/Routing/AddressAdvisor.cpp
@@ -36,22 +36,34 @@
 AddressAdvisor::advise(std::span<const AddressCandidate> EntryVms,
                        bool IsThisVmServing, common::MonotonicTime Now,
                        std::size_t MaxAddresses) {
-  std::vector<AddressCandidate> Chosen;
   if (EntryVms.empty())
-    return Chosen;
-  for (const AddressCandidate &Peer : EntryVms.subspan(1))
-    if (Now - Peer.EvidenceAt <= membership::EvidenceLimit)
-      Chosen.push_back(Peer);
-  this->shuffle(Chosen);
-  // This VM goes first so that it is in the answer whatever MaxAddresses is.
-  if (IsThisVmServing)
-    Chosen.insert(Chosen.begin(), EntryVms.front());
+    return {};
+  std::vector<AddressCandidate> Chosen =
+      this->usable(EntryVms, IsThisVmServing, Now, true);
+  if (Chosen.empty())
+    Chosen = this->usable(EntryVms, IsThisVmServing, Now, false);
   spreadOverDomains(Chosen);
   Chosen.resize(std::min(Chosen.size(), MaxAddresses));
   this->shuffle(Chosen);
   return Chosen;
 }
 
+std::vector<AddressCandidate>
+AddressAdvisor::usable(std::span<const AddressCandidate> EntryVms,
+                       bool IsThisVmServing, common::MonotonicTime Now,
+                       bool IsPlaced) {
+  std::vector<AddressCandidate> Usable;
+  for (const AddressCandidate &Peer : EntryVms.subspan(1))
+    if (Peer.IsPlaced == IsPlaced &&
+        Now - Peer.EvidenceAt <= membership::EvidenceLimit)
+      Usable.push_back(Peer);
+  this->shuffle(Usable);
+  // This VM goes first so that it is in the answer whatever the maximum is.
+  if (IsThisVmServing && EntryVms.front().IsPlaced == IsPlaced)
+    Usable.insert(Usable.begin(), EntryVms.front());
+  return Usable;
+}
+
 void AddressAdvisor::shuffle(std::vector<AddressCandidate> &Candidates) {
   for (std::size_t Left = Candidates.size(); Left > 1; --Left)
     std::swap(Candidates[Left - 1], Candidates[this->Random.below(Left)]);
--- a/Source/Routing/AddressCandidate.h
+++ b/Source/Routing/AddressCandidate.h
@@ -16,6 +16,8 @@
   std::string FailureDomain;
   /// When the probe was sent whose acknowledgement said "serving".
   common::MonotonicTime EvidenceAt;
+  /// False for a VM that stands by.
+  bool IsPlaced = true;
 };
 
 } // namespace acaciacross::routing
--- a/Source/UnitTests/Routing/AddressAdvisorTest.cpp
+++ b/Source/UnitTests/Routing/AddressAdvisorTest.cpp
@@ -55,6 +55,22 @@
   EXPECT_EQ(Names.count("entry-4"), 1U);
 }
 
+// Callers on VMs that stand by would open connections to all searchers.
+TEST_F(AddressAdvisorTest, VmThatStandsByIsNotNamedBesidePlacedOnes) {
+  for (std::size_t I = 0; I < this->EntryVms.size(); ++I)
+    this->EntryVms[I].IsPlaced = I == 2 || I == 5;
+  EXPECT_EQ(this->names(true, 8),
+            (std::set<std::string>{"entry-2", "entry-5"}));
+}
+
+// All placed VMs may be lost at the same moment.
+TEST_F(AddressAdvisorTest, VmsThatStandByAreNamedWhenNoPlacedOneIsFresh) {
+  for (std::size_t I = 0; I < this->EntryVms.size(); ++I)
+    this->EntryVms[I].IsPlaced = I == 2;
+  this->EntryVms[2].EvidenceAt = this->Now - milliseconds(1001);
+  EXPECT_EQ(this->names(true, 8).size(), 7U);
+}
+
 // Addresses of one rack only would all be lost with it.
 TEST_F(AddressAdvisorTest, AsManyAddressesAsDomainsSpanAllDomains) {
   for (int I = 0; I < 50; ++I) {
