Query: state of all shards and payment of attempts are classes of their own

Cause: QueryExecution.cpp had 367 lines and three reasons to change: how a query goes on, what its shards show together, and what an attempt takes from the budget. Ruled out: splitting by phase (start, loss, restart); each phase needs all members. Change: ShardSet and AttemptPayment, moved without a change of behaviour.

--- a/Source/Query/QueryExecution.cpp
+++ b/Source/Query/QueryExecution.cpp
@@ -26,7 +26,8 @@
                                QueryDependencies Used)
     : Request(std::move(Accepted)), Service(std::move(View)),
       NewestService(this->Service), Dependencies(Used),
-      Attempts(this->Request, this->Dependencies) {}
+      Attempts(this->Request, this->Dependencies),
+      Payment(this->Dependencies.Budget, this->Statistics) {}
 
 void QueryExecution::start(common::MonotonicTime Now) {
   if (Now >= this->Request.Deadline) {
@@ -91,13 +92,7 @@
   common::MonotonicTime Next = this->Request.Deadline;
   if (this->isGoodEnoughAtTarget())
     Next = std::min(Next, this->Request.LatencyTarget);
-  for (const ShardProgress &Progress : this->Shards) {
-    if (Progress.HedgeAt)
-      Next = std::min(Next, *Progress.HedgeAt);
-    if (Progress.RetryAt)
-      Next = std::min(Next, *Progress.RetryAt);
-  }
-  return Next;
+  return std::min(Next, this->Shards.nextTimer().value_or(Next));
 }
 
 void QueryExecution::abort(common::ResultCode Reason) {
@@ -126,7 +121,7 @@
     return false;
   this->SnapshotPosition = *Chosen;
   this->Tally.emplace(this->snapshot());
-  this->Shards.assign(this->snapshot().Shards.size(), ShardProgress());
+  this->Shards.reset(this->snapshot().Shards.size());
   return true;
 }
 
@@ -139,7 +134,7 @@
     this->beginNextRound(Shard, Now);
     return;
   }
-  if (!this->payForAttempt(Progress)) {
+  if (!this->Payment.payNext(Progress)) {
     Progress.RetryAt = Now + RetryBackoff;
     return;
   }
@@ -166,23 +161,6 @@
   Progress.RetryAt = Now + RetryBackoff;
 }
 
-bool QueryExecution::payForAttempt(ShardProgress &Progress) {
-  if (Progress.IsFirstAttemptDue) {
-    Progress.IsFirstAttemptDue = false;
-    this->Dependencies.Budget.onFirstAttempt();
-    ++this->Statistics.FirstAttempts;
-    return true;
-  }
-  if (Progress.IsPrepaid) {
-    Progress.IsPrepaid = false;
-    return true;
-  }
-  if (!this->Dependencies.Budget.tryWithdraw(1))
-    return false;
-  ++this->Statistics.ExtraAttempts;
-  return true;
-}
-
 void QueryExecution::startAttempt(std::size_t Shard,
                                   std::uint32_t SearcherPosition, bool IsHedge,
                                   common::MonotonicTime Now) {
@@ -213,12 +191,10 @@
     return;
 
   const std::optional<std::uint32_t> Replica = this->selectReplica(Shard);
-  if (!Replica || !this->Dependencies.Budget.tryWithdrawForHedge()) {
+  if (!Replica || !this->Payment.payHedge()) {
     Progress.HedgeAt = Now + RetryBackoff;
     return;
   }
-  ++this->Statistics.ExtraAttempts;
-  ++this->Statistics.Hedges;
   this->startAttempt(Shard, *Replica, true, Now);
 }
 
@@ -283,12 +259,7 @@
 }
 
 void QueryExecution::restartIfDue(common::MonotonicTime Now) {
-  const bool IsDue =
-      std::any_of(this->Shards.begin(), this->Shards.end(),
-                  [](const ShardProgress &Progress) {
-                    return Progress.IsRestartDue && !Progress.IsAnswered;
-                  });
-  if (!IsDue || Now >= this->Request.Deadline)
+  if (!this->Shards.isRestartDue() || Now >= this->Request.Deadline)
     return;
   // A restart runs every shard again, so that it is open to a request that may
   // not be repeated only while nothing of it can have run.
@@ -307,16 +278,14 @@
     return;
   const auto Cost = static_cast<std::uint32_t>(
       this->NewestService->Snapshots[*Next].Shards.size());
-  if (!this->Dependencies.Budget.tryWithdraw(Cost))
+  if (!this->Payment.payRestart(Cost))
     return;
 
-  for (ShardProgress &Progress : this->Shards)
+  for (ShardProgress &Progress : this->Shards.all())
     this->cancelRunning(Progress);
   this->Service = this->NewestService;
   this->LostSnapshots = std::move(Lost);
   this->pinSnapshot();
-  ++this->Statistics.Restarts;
-  this->Statistics.ExtraAttempts += Cost;
   for (std::size_t Shard = 0; Shard < this->Shards.size(); ++Shard) {
     this->Shards[Shard].IsFirstAttemptDue = false;
     this->Shards[Shard].IsPrepaid = true;
@@ -324,17 +293,10 @@
   }
 }
 
-bool QueryExecution::isAnythingPending() const {
-  return std::any_of(this->Shards.begin(), this->Shards.end(),
-                     [](const ShardProgress &Progress) {
-                       return !Progress.IsAnswered && !Progress.IsGivenUp;
-                     });
-}
-
 void QueryExecution::finishIfDone(common::MonotonicTime Now) {
   if (this->isFinished())
     return;
-  if (!this->isAnythingPending()) {
+  if (!this->Shards.isAnythingPending()) {
     this->finish(Now >= this->Request.Deadline
                      ? common::ResultCode::DeadlinePassed
                      : common::ResultCode::NoUsableReplica);
@@ -354,14 +316,14 @@
 }
 
 void QueryExecution::finish(common::ResultCode Reason) {
-  for (ShardProgress &Progress : this->Shards) {
+  for (ShardProgress &Progress : this->Shards.all()) {
     this->cancelRunning(Progress);
     Progress.HedgeAt.reset();
     Progress.RetryAt.reset();
   }
   const SnapshotView *Pinned = this->Tally ? &this->snapshot() : nullptr;
-  this->Decided =
-      OutcomeDecision(Pinned, this->Shards, this->MayHaveRun).decide(Reason);
+  this->Decided = OutcomeDecision(Pinned, this->Shards.all(), this->MayHaveRun)
+                      .decide(Reason);
 }
 
 } // namespace acaciacross::query
--- a/Source/Query/QueryExecution.h
+++ b/Source/Query/QueryExecution.h
@@ -2,6 +2,7 @@
 #define ACACIACROSS_QUERY_QUERYEXECUTION_H
 
 #include "Query/AttemptBook.h"
+#include "Query/AttemptPayment.h"
 #include "Query/AttemptResult.h"
 #include "Query/CoverageTally.h"
 #include "Query/Outcome.h"
@@ -10,6 +11,7 @@
 #include "Query/QueryStatistics.h"
 #include "Query/ServiceView.h"
 #include "Query/ShardProgress.h"
+#include "Query/ShardSet.h"
 
 #include <memory>
 #include <optional>
@@ -59,7 +61,6 @@
 
   void tryAttempt(std::size_t Shard, common::MonotonicTime Now);
   std::optional<std::uint32_t> selectReplica(std::size_t Shard) const;
-  bool payForAttempt(ShardProgress &Progress);
   void startAttempt(std::size_t Shard, std::uint32_t SearcherPosition,
                     bool IsHedge, common::MonotonicTime Now);
   void tryHedge(std::size_t Shard, common::MonotonicTime Now);
@@ -75,7 +76,6 @@
 
   void finishIfDone(common::MonotonicTime Now);
   bool isGoodEnoughAtTarget() const;
-  bool isAnythingPending() const;
   void finish(common::ResultCode Reason);
 
   QueryRequest Request;
@@ -87,13 +87,14 @@
   std::vector<common::SnapshotId> LostSnapshots;
   std::size_t SnapshotPosition = 0;
   std::optional<CoverageTally> Tally;
-  std::vector<ShardProgress> Shards;
+  ShardSet Shards;
   AttemptBook Attempts;
 
   /// An attempt started whose work the upstream may have begun.
   bool MayHaveRun = false;
   std::optional<Outcome> Decided;
   QueryStatistics Statistics;
+  AttemptPayment Payment;
 };
 
 } // namespace acaciacross::query
