Query: the choice of replicas in rounds is a class of its own

Cause: QueryExecution still held which replicas of a shard may be asked in which round, which needs nothing else of a query. Ruled out: moving it into ReplicaSelector, which knows no query. Change: ReplicaRounds, moved without a change of behaviour. Measured: QueryExecution.cpp 329 to 305 lines; the 38 tests of queries, outcomes and the service engine pass, all others were not run for this commit.

--- a/Source/Query/QueryExecution.cpp
+++ b/Source/Query/QueryExecution.cpp
@@ -27,6 +27,7 @@
     : Request(std::move(Accepted)), Service(std::move(View)),
       NewestService(this->Service), Dependencies(Used),
       Attempts(this->Request, this->Dependencies),
+      Rounds(this->Dependencies.Replicas),
       Payment(this->Dependencies.Budget, this->Statistics) {}
 
 void QueryExecution::start(common::MonotonicTime Now) {
@@ -129,9 +130,12 @@
   ShardProgress &Progress = this->Shards[Shard];
   Progress.RetryAt.reset();
 
-  const std::optional<std::uint32_t> Replica = this->selectReplica(Shard);
+  const ShardView &View = this->snapshot().Shards[Shard];
+  const auto Replica = this->Rounds.next(*this->Service, View, Progress);
   if (!Replica) {
-    this->beginNextRound(Shard, Now);
+    this->Rounds.beginNext(*this->Service, View, Progress);
+    if (!Progress.IsGivenUp)
+      Progress.RetryAt = Now + RetryBackoff;
     return;
   }
   if (!this->Payment.payNext(Progress)) {
@@ -141,26 +145,6 @@
   this->startAttempt(Shard, *Replica, false, Now);
 }
 
-// Replicas that shed or lost an attempt may be asked again after a while; those
-// that refused a connection or lack the snapshot may not.
-void QueryExecution::beginNextRound(std::size_t Shard,
-                                    common::MonotonicTime Now) {
-  ShardProgress &Progress = this->Shards[Shard];
-  const ShardView &View = this->snapshot().Shards[Shard];
-  // Replicas that only shed or failed may still hold the snapshot; a restart
-  // would throw away the partial results and ask every shard again.
-  const bool IsAnyLeft =
-      this->Dependencies.Replicas.select(*this->Service, View, Progress.Dropped)
-          .has_value();
-  Progress.IsRestartDue = Progress.IsSnapshotLost && !IsAnyLeft;
-  if (Progress.Dropped.size() >= View.Replicas.size()) {
-    Progress.IsGivenUp = true;
-    return;
-  }
-  Progress.Tried.clear();
-  Progress.RetryAt = Now + RetryBackoff;
-}
-
 void QueryExecution::startAttempt(std::size_t Shard,
                                   std::uint32_t SearcherPosition, bool IsHedge,
                                   common::MonotonicTime Now) {
@@ -175,22 +159,14 @@
                        SearcherPosition, IsHedge, Progress);
 }
 
-std::optional<std::uint32_t>
-QueryExecution::selectReplica(std::size_t Shard) const {
-  const ShardProgress &Progress = this->Shards[Shard];
-  std::vector<std::uint32_t> Excluded = Progress.Dropped;
-  Excluded.insert(Excluded.end(), Progress.Tried.begin(), Progress.Tried.end());
-  return this->Dependencies.Replicas.select(
-      *this->Service, this->snapshot().Shards[Shard], Excluded);
-}
-
 void QueryExecution::tryHedge(std::size_t Shard, common::MonotonicTime Now) {
   ShardProgress &Progress = this->Shards[Shard];
   Progress.HedgeAt.reset();
   if (Progress.Running.empty() || Progress.Running.size() >= MaxRunningPerShard)
     return;
 
-  const std::optional<std::uint32_t> Replica = this->selectReplica(Shard);
+  const auto Replica = this->Rounds.next(
+      *this->Service, this->snapshot().Shards[Shard], Progress);
   if (!Replica || !this->Payment.payHedge()) {
     Progress.HedgeAt = Now + RetryBackoff;
     return;
--- a/Source/Query/QueryExecution.h
+++ b/Source/Query/QueryExecution.h
@@ -9,6 +9,7 @@
 #include "Query/QueryDependencies.h"
 #include "Query/QueryRequest.h"
 #include "Query/QueryStatistics.h"
+#include "Query/ReplicaRounds.h"
 #include "Query/ServiceView.h"
 #include "Query/ShardProgress.h"
 #include "Query/ShardSet.h"
@@ -60,7 +61,6 @@
   bool pinSnapshot();
 
   void tryAttempt(std::size_t Shard, common::MonotonicTime Now);
-  std::optional<std::uint32_t> selectReplica(std::size_t Shard) const;
   void startAttempt(std::size_t Shard, std::uint32_t SearcherPosition,
                     bool IsHedge, common::MonotonicTime Now);
   void tryHedge(std::size_t Shard, common::MonotonicTime Now);
@@ -72,7 +72,6 @@
                   AttemptStatus Status, common::MonotonicTime Now);
   void restartIfDue(common::MonotonicTime Now);
   void restart(common::MonotonicTime Now);
-  void beginNextRound(std::size_t Shard, common::MonotonicTime Now);
 
   void finishIfDone(common::MonotonicTime Now);
   bool isGoodEnoughAtTarget() const;
@@ -89,6 +88,7 @@
   std::optional<CoverageTally> Tally;
   ShardSet Shards;
   AttemptBook Attempts;
+  ReplicaRounds Rounds;
 
   /// An attempt started whose work the upstream may have begun.
   bool MayHaveRun = false;
