Traffic, Frontend: one class takes replies of transfers, one encodes responses

Ruled out: a base class for the transfers; they share only where a reply goes. Change: BoundedReply and EncodedResponse, moved without a change of behaviour.

--- a/Source/Frontend/ReportResponder.h
+++ b/Source/Frontend/ReportResponder.h
@@ -1,34 +1,24 @@
 #ifndef ACACIACROSS_FRONTEND_REPORTRESPONDER_H
 #define ACACIACROSS_FRONTEND_REPORTRESPONDER_H
 
-#include "Frontend/ResponseSink.h"
+#include "Frontend/EncodedResponse.h"
 #include "Traffic/ReportSink.h"
 
-#include <functional>
-#include <memory>
 #include <utility>
 #include <vector>
 
 namespace acaciacross::frontend {
 
 /// Answers a call with the metrics of all classes.
-class ReportResponder final : public traffic::ReportSink {
+class ReportResponder final
+    : public traffic::ReportSink,
+      private EncodedResponse<std::vector<metrics::ClassReport>> {
 public:
-  using Encoder =
-      std::function<HttpResponse(const std::vector<metrics::ClassReport> &)>;
-
-  ReportResponder(Encoder Chosen, std::shared_ptr<ResponseSink> Target)
-      : Encode(std::move(Chosen)), Sink(std::move(Target)) {}
+  using EncodedResponse::EncodedResponse;
 
   void onReports(std::vector<metrics::ClassReport> Reports) override {
-    this->Sink->respond([Encode = this->Encode, Given = std::move(Reports)] {
-      return Encode(Given);
-    });
+    this->respond(std::move(Reports));
   }
-
-private:
-  Encoder Encode;
-  std::shared_ptr<ResponseSink> Sink;
 };
 
 } // namespace acaciacross::frontend
--- a/Source/Traffic/CurlTransfer.cpp
+++ b/Source/Traffic/CurlTransfer.cpp
@@ -1,6 +1,5 @@
 #include "Traffic/CurlTransfer.h"
 
-#include "Traffic/DrainHeader.h"
 #include "Traffic/UpstreamCodec.h"
 
 #include <algorithm>
@@ -24,7 +23,8 @@
 
 CurlTransfer::CurlTransfer(const query::AttemptSpec &Attempt,
                            const common::Clock &Time)
-    : Spec(Attempt), Ticker(Time), StartedAt(Time.monotonicNow()) {
+    : Spec(Attempt), Ticker(Time), StartedAt(Time.monotonicNow()),
+      Reply(MaxReplyBytes, MaxHeaderBytes) {
   const auto Lines = encodeAttemptHeaders(this->Spec);
   if (!Lines)
     return;
@@ -67,10 +67,7 @@
   Set(CURLOPT_PREREQFUNCTION, &CurlTransfer::beforeRequest);
   Set(CURLOPT_PREREQDATA, this);
 
-  Set(CURLOPT_WRITEFUNCTION, &CurlTransfer::writeReply);
-  Set(CURLOPT_WRITEDATA, this);
-  Set(CURLOPT_HEADERFUNCTION, &CurlTransfer::readHeader);
-  Set(CURLOPT_HEADERDATA, this);
+  this->Reply.attach(this->Easy);
 }
 
 CURL *CurlTransfer::handle() const { return this->Easy; }
@@ -85,10 +82,10 @@
   Ended.Result.Attempt = this->Spec.Id;
   Ended.Result.Status = this->statusOf(Code);
   Ended.Result.Elapsed = this->Ticker.monotonicNow() - this->StartedAt;
-  Ended.Result.Draining = this->Draining;
+  Ended.Result.Draining = this->Reply.isDraining();
   if (Ended.Result.Status != query::AttemptStatus::Answered)
     return Ended;
-  Ended.Result.Reply = decodeShardReply(this->Reply);
+  Ended.Result.Reply = decodeShardReply(this->Reply.body());
   if (!Ended.Result.Reply)
     Ended.Result.Status = query::AttemptStatus::Lost;
   return Ended;
@@ -116,28 +113,6 @@
   return Length;
 }
 
-std::size_t CurlTransfer::writeReply(char *Bytes, std::size_t Size,
-                                     std::size_t Count, void *Self) {
-  auto &Transfer = *static_cast<CurlTransfer *>(Self);
-  const std::size_t Length = Size * Count;
-  if (Transfer.Reply.size() + Length > MaxReplyBytes)
-    return 0;
-  Transfer.Reply.append(Bytes, Length);
-  return Length;
-}
-
-std::size_t CurlTransfer::readHeader(char *Bytes, std::size_t Size,
-                                     std::size_t Count, void *Self) {
-  auto &Transfer = *static_cast<CurlTransfer *>(Self);
-  const std::size_t Length = Size * Count;
-  Transfer.HeaderBytes += Length;
-  if (Transfer.HeaderBytes > MaxHeaderBytes)
-    return 0;
-  if (isDrainHeader({Bytes, Length}))
-    Transfer.Draining = true;
-  return Length;
-}
-
 // libcurl calls this when it has a connection and before it sends anything,
 // also before it repeats a request by itself. A transfer may have waited for a
 // connection, so the deadline is checked here.
--- a/Source/Traffic/CurlTransfer.h
+++ b/Source/Traffic/CurlTransfer.h
@@ -3,6 +3,7 @@
 
 #include "Common/Clock.h"
 #include "Query/AttemptSpec.h"
+#include "Traffic/BoundedReply.h"
 #include "Traffic/EndedAttempt.h"
 
 #include <curl/curl.h>
@@ -39,10 +40,6 @@
 
   static std::size_t readBody(char *Buffer, std::size_t Size, std::size_t Count,
                               void *Self);
-  static std::size_t writeReply(char *Bytes, std::size_t Size,
-                                std::size_t Count, void *Self);
-  static std::size_t readHeader(char *Bytes, std::size_t Size,
-                                std::size_t Count, void *Self);
   static int beforeRequest(void *Self, char *, char *, int, int);
 
   query::AttemptSpec Spec;
@@ -52,14 +49,12 @@
   CURL *Easy = nullptr;
   curl_slist *Headers = nullptr;
   std::size_t BodyOffset = 0;
-  std::size_t HeaderBytes = 0;
-  std::string Reply;
+  BoundedReply Reply;
   std::uint16_t LocalPort = 0;
 
   /// From here on a byte of the request may have been sent.
   bool IsRequestReleased = false;
   bool IsDeadlineMissed = false;
-  bool Draining = false;
 };
 
 } // namespace acaciacross::traffic
--- a/Source/Traffic/PageTransfer.cpp
+++ b/Source/Traffic/PageTransfer.cpp
@@ -1,6 +1,5 @@
 #include "Traffic/PageTransfer.h"
 
-#include "Traffic/DrainHeader.h"
 #include "Traffic/PageCodec.h"
 
 #include <cerrno>
@@ -25,7 +24,8 @@
 } // namespace
 
 PageTransfer::PageTransfer(PagePoll Wanted)
-    : Poll(std::move(Wanted)), Easy(::curl_easy_init()) {
+    : Poll(std::move(Wanted)), Easy(::curl_easy_init()),
+      Reply(MaxPageBytes, MaxHeaderBytes) {
   if (this->Easy)
     this->configure();
 }
@@ -47,10 +47,7 @@
   Set(CURLOPT_TCP_NODELAY, 1L);
   Set(CURLOPT_CONNECTTIMEOUT_MS, ConnectTimeoutMs);
   Set(CURLOPT_TIMEOUT_MS, TimeoutMs);
-  Set(CURLOPT_WRITEFUNCTION, &PageTransfer::writeReply);
-  Set(CURLOPT_WRITEDATA, this);
-  Set(CURLOPT_HEADERFUNCTION, &PageTransfer::readHeader);
-  Set(CURLOPT_HEADERDATA, this);
+  this->Reply.attach(this->Easy);
 }
 
 CURL *PageTransfer::handle() const { return this->Easy; }
@@ -72,13 +69,13 @@
   if (Code != CURLE_OK || HttpCode != HttpOk)
     return std::nullopt;
   if (this->Poll.Kind == PageKind::Health) {
-    const auto Health = decodeHealthPage(this->Reply);
+    const auto Health = decodeHealthPage(this->Reply.body());
     if (!Health)
       return std::nullopt;
     Polled.Page = *Health;
     return Polled;
   }
-  const auto Load = decodeLoadPage(this->Reply);
+  const auto Load = decodeLoadPage(this->Reply.body());
   if (!Load)
     return std::nullopt;
   Polled.Page = *Load;
@@ -95,7 +92,7 @@
     return upstreams::HealthStatus::Refused;
   if (Code != CURLE_OK)
     return std::nullopt;
-  if (this->Draining)
+  if (this->Reply.isDraining())
     return upstreams::HealthStatus::Draining;
   long HttpCode = 0;
   ::curl_easy_getinfo(this->Easy, CURLINFO_RESPONSE_CODE, &HttpCode);
@@ -105,26 +102,4 @@
                    : std::nullopt;
 }
 
-std::size_t PageTransfer::writeReply(char *Bytes, std::size_t Size,
-                                     std::size_t Count, void *Self) {
-  auto &Transfer = *static_cast<PageTransfer *>(Self);
-  const std::size_t Length = Size * Count;
-  if (Transfer.Reply.size() + Length > MaxPageBytes)
-    return 0;
-  Transfer.Reply.append(Bytes, Length);
-  return Length;
-}
-
-std::size_t PageTransfer::readHeader(char *Bytes, std::size_t Size,
-                                     std::size_t Count, void *Self) {
-  auto &Transfer = *static_cast<PageTransfer *>(Self);
-  const std::size_t Length = Size * Count;
-  Transfer.HeaderBytes += Length;
-  if (Transfer.HeaderBytes > MaxHeaderBytes)
-    return 0;
-  if (isDrainHeader({Bytes, Length}))
-    Transfer.Draining = true;
-  return Length;
-}
-
 } // namespace acaciacross::traffic
--- a/Source/Traffic/PageTransfer.h
+++ b/Source/Traffic/PageTransfer.h
@@ -1,6 +1,7 @@
 #ifndef ACACIACROSS_TRAFFIC_PAGETRANSFER_H
 #define ACACIACROSS_TRAFFIC_PAGETRANSFER_H
 
+#include "Traffic/BoundedReply.h"
 #include "Traffic/EndedPoll.h"
 
 #include <curl/curl.h>
@@ -31,16 +32,9 @@
   std::optional<upstreams::PolledPage> pageOf(CURLcode Code) const;
   std::optional<upstreams::HealthStatus> statusOf(CURLcode Code) const;
 
-  static std::size_t writeReply(char *Bytes, std::size_t Size,
-                                std::size_t Count, void *Self);
-  static std::size_t readHeader(char *Bytes, std::size_t Size,
-                                std::size_t Count, void *Self);
-
   PagePoll Poll;
   CURL *Easy = nullptr;
-  std::size_t HeaderBytes = 0;
-  std::string Reply;
-  bool Draining = false;
+  BoundedReply Reply;
 };
 
 } // namespace acaciacross::traffic
