Membership, TestSupport: one class takes in news of peers, one function free ports

Cause: FleetAgent and FleetMember both applied what peers say and queued what others should hear; three tests had a function that finds a free port. Ruled out: one agent for both programs; they differ in log, store and documents. Change: FleetNews and testsupport::freeAddress. The events of one message are recorded together, so that a message makes one new view instead of one per update.

--- a/Source/Fleet/FleetAgent.cpp
+++ b/Source/Fleet/FleetAgent.cpp
@@ -158,15 +158,8 @@
 
 void FleetAgent::applyContent(const common::Address &From,
                               const membership::Heartbeat &Content) {
-  const membership::MemberStatus &Sender = Content.Sender;
-  const std::string Cause = "message of " + Sender.Vm.Value;
-  this->record(
-      this->Fleet.applyUpdate({Sender.Vm, Sender.Run, Sender.State, From}),
-      Cause);
-  for (const membership::MemberUpdate &Update : Content.Updates) {
-    this->record(this->Fleet.applyUpdate(Update), Cause);
-    this->Hints.mention(Update.Peers, this->Time.monotonicNow());
-  }
+  this->record(this->News.apply(From, Content, this->Time.monotonicNow()),
+               "message of " + Content.Sender.Vm.Value);
 }
 
 void FleetAgent::record(const std::vector<membership::FleetEvent> &Events,
@@ -175,12 +168,7 @@
     this->Log.write(logging::LogRecord(eventOf(Event.Kind))
                         .text("peer", Event.Vm.Value)
                         .text("cause", Cause));
-    const membership::PeerRecord *Peer = this->Fleet.find(Event.Vm);
-    // A loss is this VM's own view; peers have theirs.
-    if (Peer != nullptr && Event.Kind != membership::FleetEventKind::Lost &&
-        Event.Kind != membership::FleetEventKind::DuplicateId)
-      this->Updates.add(
-          {Peer->Status.Vm, Peer->Status.Run, Peer->Status.State, Peer->Peers});
+    this->News.spread(Event);
   }
   if (!Events.empty())
     this->publish();
--- a/Source/Fleet/FleetAgent.h
+++ b/Source/Fleet/FleetAgent.h
@@ -8,9 +8,9 @@
 #include "Fleet/FleetSizeMemory.h"
 #include "Fleet/FleetViewListener.h"
 #include "Logging/EventLog.h"
+#include "Membership/FleetNews.h"
 #include "Membership/PauseDetector.h"
 #include "Membership/Prober.h"
-#include "Membership/UpdateQueue.h"
 #include "Peering/DatagramListener.h"
 #include "Peering/ProbeSocket.h"
 #include "Routing/PlacementRule.h"
@@ -78,6 +78,7 @@
   membership::AddressHints Hints;
   membership::PauseDetector Pauses;
   membership::UpdateQueue Updates;
+  membership::FleetNews News{this->Fleet, this->Hints, this->Updates};
   peering::ProbeSocket Socket;
   membership::Prober Probes;
   membership::Heartbeat Round;
--- a/Source/Peering/FleetMember.cpp
+++ b/Source/Peering/FleetMember.cpp
@@ -155,15 +155,8 @@
 
 void FleetMember::applyContent(const common::Address &From,
                                const membership::Heartbeat &Content) {
-  const std::string Cause = "peer " + Content.Sender.Vm.Value;
-  const membership::MemberStatus &Sender = Content.Sender;
-  this->record(
-      this->Fleet.applyUpdate({Sender.Vm, Sender.Run, Sender.State, From}),
-      Cause);
-  for (const membership::MemberUpdate &Update : Content.Updates) {
-    this->record(this->Fleet.applyUpdate(Update), Cause);
-    this->Hints.mention(Update.Peers, this->Time.monotonicNow());
-  }
+  this->record(this->News.apply(From, Content, this->Time.monotonicNow()),
+               "peer " + Content.Sender.Vm.Value);
   for (const membership::DrainNotice &Notice : Content.Drains)
     this->State.applyDrainNotice(Notice.Searcher, Notice.Age);
 }
@@ -172,12 +165,7 @@
                          const std::string &Cause) {
   for (const membership::FleetEvent &Event : Events) {
     this->Audit.record(Event, Cause);
-    const membership::PeerRecord *Peer = this->Fleet.find(Event.Vm);
-    // A loss is not spread: it is this VM's own view, and peers have theirs.
-    if (Peer != nullptr && Event.Kind != membership::FleetEventKind::Lost &&
-        Event.Kind != membership::FleetEventKind::DuplicateId)
-      this->Updates.add(
-          {Peer->Status.Vm, Peer->Status.Run, Peer->Status.State, Peer->Peers});
+    this->News.spread(Event);
   }
   if (!Events.empty())
     this->publishPeers(this->Time.monotonicNow());
--- a/Source/Peering/FleetMember.h
+++ b/Source/Peering/FleetMember.h
@@ -6,9 +6,9 @@
 #include "Configuration/ReadSchedule.h"
 #include "Control/ControlState.h"
 #include "Membership/DrainSpread.h"
+#include "Membership/FleetNews.h"
 #include "Membership/PauseDetector.h"
 #include "Membership/Prober.h"
-#include "Membership/UpdateQueue.h"
 #include "Peering/ConfigurationSync.h"
 #include "Peering/FleetAudit.h"
 #include "Peering/ProbeSocket.h"
@@ -67,6 +67,7 @@
   membership::AddressHints Hints;
   membership::PauseDetector Pauses;
   membership::UpdateQueue Updates;
+  membership::FleetNews News{this->Fleet, this->Hints, this->Updates};
   membership::DrainSpread Drains;
   FleetAudit Audit;
   configuration::ReadSchedule Reads;
--- a/Source/UnitTests/Fleet/ChangeRelayTest.cpp
+++ b/Source/UnitTests/Fleet/ChangeRelayTest.cpp
@@ -2,16 +2,13 @@
 
 #include "Common/SystemClock.h"
 #include "Discovery/ItemDecoder.h"
+#include "TestSupport/FreeAddress.h"
 
 #include <gtest/gtest.h>
 
 #include <ace/Dev_Poll_Reactor.h>
 #include <ace/Reactor.h>
-#include <arpa/inet.h>
 #include <fcntl.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <functional>
 #include <memory>
@@ -33,19 +30,6 @@
 /// Two VMs that pass on to each other what they know, over loopback.
 class ChangeRelayTest : public testing::Test {
 protected:
-  static common::Address freeAddress() {
-    const int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in Local{};
-    Local.sin_family = AF_INET;
-    Local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    EXPECT_EQ(
-        ::bind(Socket, reinterpret_cast<sockaddr *>(&Local), sizeof Local), 0);
-    socklen_t Size = sizeof Local;
-    ::getsockname(Socket, reinterpret_cast<sockaddr *>(&Local), &Size);
-    ::close(Socket);
-    return {"127.0.0.1", ntohs(Local.sin_port)};
-  }
-
   /// The first VM tells the second one its revision; false when the second did
   /// not reach it within ten seconds.
   bool tellSecond() {
@@ -67,11 +51,11 @@
   IdDecoder Decoder;
   discovery::PublishedState First{this->Decoder, this->Time, this->Log};
   discovery::PublishedState Second{this->Decoder, this->Time, this->Log};
-  common::Address FirstAddress = freeAddress();
+  common::Address FirstAddress = testsupport::freeAddress();
   ChangeRelay FirstRelay{this->FirstAddress, this->Events, this->Time,
                          this->First, this->Log};
-  ChangeRelay SecondRelay{freeAddress(), this->Events, this->Time, this->Second,
-                          this->Log};
+  ChangeRelay SecondRelay{testsupport::freeAddress(), this->Events, this->Time,
+                          this->Second, this->Log};
 };
 
 // The store may be away when a VM starts; without its peers it would refuse
--- a/Source/UnitTests/Peering/FleetMemberTest.cpp
+++ b/Source/UnitTests/Peering/FleetMemberTest.cpp
@@ -1,10 +1,9 @@
+#include "TestSupport/FreeAddress.h"
 #include "UnitTests/Configuration/SampleDocuments.h"
 #include "UnitTests/Peering/FleetNode.h"
 
 #include <gtest/gtest.h>
 
-#include <ace/INET_Addr.h>
-#include <ace/SOCK_Acceptor.h>
 #include <algorithm>
 
 namespace acaciacross::peering {
@@ -12,15 +11,6 @@
 /// Three entry VMs on loopback; only the first is told the others' addresses.
 class FleetMemberTest : public testing::Test {
 protected:
-  static common::Address freeAddress() {
-    ACE_SOCK_Acceptor Acceptor;
-    ACE_INET_Addr Bound;
-    Acceptor.open(ACE_INET_Addr(static_cast<u_short>(0), "127.0.0.1"));
-    Acceptor.get_local_addr(Bound);
-    Acceptor.close();
-    return {"127.0.0.1", Bound.get_port_number()};
-  }
-
   std::unique_ptr<FleetNode> makeNode(int Number, std::uint64_t Seed) const {
     std::vector<common::Address> Seeds;
     if (Number != 0)
@@ -48,8 +38,9 @@
     });
   }
 
-  std::vector<common::Address> Addresses = {freeAddress(), freeAddress(),
-                                            freeAddress()};
+  std::vector<common::Address> Addresses = {testsupport::freeAddress(),
+                                            testsupport::freeAddress(),
+                                            testsupport::freeAddress()};
   std::unique_ptr<FleetNode> First = makeNode(0, 1);
   std::unique_ptr<FleetNode> Second = makeNode(1, 2);
   std::unique_ptr<FleetNode> Third = makeNode(2, 3);
--- a/Source/UnitTests/platform/NodeTrafficTest.cpp
+++ b/Source/UnitTests/platform/NodeTrafficTest.cpp
@@ -3,15 +3,12 @@
 
 #include "Common/SystemClock.h"
 #include "Node/TrafficThread.h"
+#include "TestSupport/FreeAddress.h"
 #include "platform/Encodings.h"
 
 #include <gtest/gtest.h>
 
-#include <arpa/inet.h>
 #include <fcntl.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <chrono>
 #include <fstream>
@@ -38,26 +35,13 @@
     for (common::Address *Each :
          {&this->Settings.Callers, &this->Settings.Readiness,
           &this->Settings.Directory, &this->Settings.Metrics})
-      *Each = freeAddress();
+      *Each = testsupport::freeAddress();
     this->Settings.Repeats.FixedPerWindow = 1'000;
     this->Thread = std::make_unique<node::TrafficThread>(
         this->Settings, this->Encoding, this->Time, this->Log);
     this->Thread->start();
   }
 
-  static common::Address freeAddress() {
-    const int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in Local{};
-    Local.sin_family = AF_INET;
-    Local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    EXPECT_EQ(
-        ::bind(Socket, reinterpret_cast<sockaddr *>(&Local), sizeof Local), 0);
-    socklen_t Size = sizeof Local;
-    ::getsockname(Socket, reinterpret_cast<sockaddr *>(&Local), &Size);
-    ::close(Socket);
-    return {"127.0.0.1", ntohs(Local.sin_port)};
-  }
-
   /// A searcher of the service; its answers come from Reply.
   Upstream &searcher(const std::string &Service, Upstream::Answer Reply) {
     this->Upstreams.push_back(std::make_unique<Upstream>(std::move(Reply)));
