Routing, Common: the placed set follows the largest load of the last ten seconds

Cause: found while reading. LoadPlacement kept a peak for ten seconds and then took the load of that one moment, so a lull at the wrong time made the set shrink and give up connections. FleetSizeMemory already had the right window. Ruled out: a longer hold; it only makes the moment rarer. Change: SlidingMaximum, used by both. FleetView counts serving VMs, whose ids nobody read.

Measured: LoadPlacementTest.LullAfterAPeakDoesNotShrinkTheSetBelowTheUsualLoad fails with the code before and passes now; all unit tests pass.

--- a/Source/Fleet/FleetAgent.cpp
+++ b/Source/Fleet/FleetAgent.cpp
@@ -186,8 +186,7 @@
   Add(this->ownStatus());
   for (const membership::PeerRecord *Peer : this->Fleet.livePeers())
     Add(Peer->Status);
-  for (const routing::PlacementCandidate &Each : Candidates)
-    View.Serving.push_back(Each.Vm);
+  View.ServingCount = static_cast<unsigned>(Candidates.size());
   View.Placed = this->Placement.choose(Candidates, Now);
   std::vector<common::Address> Preferred;
   for (const common::VmId &Vm : View.Placed)
@@ -200,7 +199,7 @@
   this->PlacedTold = View.Placed;
   this->Log.write(
       logging::LogRecord(common::LogEvent::CallersPlaced)
-          .number("serving", static_cast<std::int64_t>(Candidates.size()))
+          .number("serving", View.ServingCount)
           .number("placed", static_cast<std::int64_t>(View.Placed.size()))
           .flag("this_vm", View.Placed.contains(this->Settings.Vm)));
 }
--- a/Source/Fleet/FleetSizeMemory.cpp
+++ b/Source/Fleet/FleetSizeMemory.cpp
@@ -12,7 +12,7 @@
 } // namespace
 
 FleetSizeMemory::FleetSizeMemory(std::chrono::milliseconds Window)
-    : Length(Window) {}
+    : Sizes(Window) {}
 
 void FleetSizeMemory::note(common::MonotonicTime Now, unsigned Size,
                            bool IsLearning) {
@@ -22,16 +22,11 @@
   }
   if (Now - this->GrownAt >= LearningTime)
     this->IsKnown = true;
-  while (!this->Sizes.empty() && this->Sizes.back().second <= Size)
-    this->Sizes.pop_back();
-  this->Sizes.emplace_back(Now, Size);
+  this->Sizes.note(Now, Size);
 }
 
 unsigned FleetSizeMemory::largest(common::MonotonicTime Now) {
-  while (this->Sizes.size() > 1 &&
-         Now - this->Sizes.front().first > this->Length)
-    this->Sizes.pop_front();
-  return this->IsKnown ? this->Sizes.front().second : Unknown;
+  return this->IsKnown ? this->Sizes.largest(Now) : Unknown;
 }
 
 } // namespace acaciacross::fleet
--- a/Source/Fleet/FleetSizeMemory.h
+++ b/Source/Fleet/FleetSizeMemory.h
@@ -1,12 +1,11 @@
 #ifndef ACACIACROSS_FLEET_FLEETSIZEMEMORY_H
 #define ACACIACROSS_FLEET_FLEETSIZEMEMORY_H
 
+#include "Common/SlidingMaximum.h"
 #include "Common/Time.h"
 
 #include <chrono>
-#include <deque>
 #include <limits>
-#include <utility>
 
 namespace acaciacross::fleet {
 
@@ -25,12 +24,10 @@
   unsigned largest(common::MonotonicTime Now);
 
 private:
-  std::chrono::milliseconds Length;
   unsigned Known = 0;
   common::MonotonicTime GrownAt;
   bool IsKnown = false;
-  /// Sizes that fall with their time.
-  std::deque<std::pair<common::MonotonicTime, unsigned>> Sizes;
+  common::SlidingMaximum<unsigned> Sizes;
 };
 
 } // namespace acaciacross::fleet
--- a/Source/Fleet/FleetView.h
+++ b/Source/Fleet/FleetView.h
@@ -12,10 +12,10 @@
 struct FleetView {
   /// This VM first, then the peers that serve and have fresh evidence.
   std::vector<routing::AddressCandidate> EntryVms;
-  /// All VMs that serve and are not known to be lost, with this one.
-  std::vector<common::VmId> Serving;
-  /// The same with those that do not serve yet.
+  /// All VMs that are not known to be lost or to leave, with this one.
   std::vector<common::VmId> Live;
+  /// How many of them serve.
+  unsigned ServingCount = 0;
   /// Those that take callers.
   std::set<common::VmId> Placed;
   /// VMs that may hold connections to searchers or have sent requests in the
--- a/Source/Node/TrafficThread.cpp
+++ b/Source/Node/TrafficThread.cpp
@@ -89,8 +89,7 @@
   forwarding::FleetPart Part;
   Part.VmCount = this->Fleet.VmCount;
   Part.PlacedCount = static_cast<unsigned>(this->Fleet.Placed.size());
-  Part.StandbyCount =
-      static_cast<unsigned>(this->Fleet.Serving.size()) - Part.PlacedCount;
+  Part.StandbyCount = this->Fleet.ServingCount - Part.PlacedCount;
   Part.IsPlaced = this->Fleet.EntryVms.front().IsPlaced;
   this->Book.setFleet(Part);
   if (WasPlaced && !Part.IsPlaced)
--- a/Source/Routing/LoadPlacement.cpp
+++ b/Source/Routing/LoadPlacement.cpp
@@ -4,7 +4,6 @@
 #include "Membership/FleetLimits.h"
 
 #include <algorithm>
-#include <chrono>
 #include <cstdint>
 #include <map>
 #include <tuple>
@@ -20,9 +19,6 @@
 // At twice this load queries still do not wait for the processor, so there is
 // time to place more VMs in a burst.
 constexpr double TargetBusy = 0.35;
-// A VM that leaves the set gives up its connections, so the set shrinks only
-// when a lower load has lasted.
-constexpr std::chrono::seconds HoldTime{10};
 
 struct Ranked {
   /// Those that each failure domain needs first, then larger VMs first, then
@@ -80,12 +76,8 @@
   double Used = 0.0;
   for (const PlacementCandidate &Each : Serving)
     Used += Each.CapacityMilliCores * (Each.BusyPerMille / Whole);
-  const double Needed = Used / TargetBusy;
-  if (Needed >= this->Held || Now - this->HeldSince > HoldTime) {
-    this->Held = Needed;
-    this->HeldSince = Now;
-  }
-  return this->Held;
+  this->Recent.note(Now, Used / TargetBusy);
+  return this->Recent.largest(Now);
 }
 
 } // namespace acaciacross::routing
--- a/Source/Routing/LoadPlacement.h
+++ b/Source/Routing/LoadPlacement.h
@@ -1,8 +1,11 @@
 #ifndef ACACIACROSS_ROUTING_LOADPLACEMENT_H
 #define ACACIACROSS_ROUTING_LOADPLACEMENT_H
 
+#include "Common/SlidingMaximum.h"
 #include "Routing/PlacementRule.h"
 
+#include <chrono>
+
 namespace acaciacross::routing {
 
 /// Places callers on the largest VMs, spread over failure domains, as many as
@@ -19,8 +22,11 @@
   double needed(std::span<const PlacementCandidate> Serving,
                 common::MonotonicTime Now);
 
-  double Held = 0.0;
-  common::MonotonicTime HeldSince;
+  // A VM that leaves the set gives up its connections, so the set shrinks only
+  // when a lower load has lasted.
+  static constexpr std::chrono::seconds HoldTime{10};
+
+  common::SlidingMaximum<double> Recent{HoldTime};
 };
 
 } // namespace acaciacross::routing
--- a/Source/UnitTests/Routing/LoadPlacementTest.cpp
+++ b/Source/UnitTests/Routing/LoadPlacementTest.cpp
@@ -95,6 +95,21 @@
   EXPECT_EQ(this->choose().size(), 8U);
 }
 
+// The set followed the load of the one moment in which a peak was ten seconds
+// old, and gave up connections in a short lull.
+TEST_F(LoadPlacementTest, LullAfterAPeakDoesNotShrinkTheSetBelowTheUsualLoad) {
+  this->add("vm-", 60, 120);
+  this->setBusy(900);
+  this->choose();
+  this->Now += seconds(6);
+  this->setBusy(600);
+  const std::size_t Usual = this->choose().size();
+  this->setBusy(0);
+  this->Now += seconds(5);
+  EXPECT_GT(this->choose().size(), 8U);
+  EXPECT_LE(this->choose().size(), Usual);
+}
+
 // VMs that differ in what they were told in which order must not place callers
 // on different sets.
 TEST_F(LoadPlacementTest, OrderOfCandidatesDoesNotMatter) {
