--- a/Source/UnitTests/Routing/LoadPlacementTest.cpp
+++ b/Source/UnitTests/Routing/LoadPlacementTest.cpp
@@ -99,15 +99,18 @@
 // old, and gave up connections in a short lull.
 TEST_F(LoadPlacementTest, LullAfterAPeakDoesNotShrinkTheSetBelowTheUsualLoad) {
   this->add("vm-", 60, 120);
-  this->setBusy(900);
-  this->choose();
+  const auto Load = [this](unsigned PerMille) {
+    for (PlacementCandidate &Each : this->Serving)
+      Each.BusyPerMille = PerMille;
+    return this->choose().size();
+  };
+  const std::size_t AtPeak = Load(300);
   this->Now += seconds(6);
-  this->setBusy(600);
-  const std::size_t Usual = this->choose().size();
-  this->setBusy(0);
+  Load(100);
   this->Now += seconds(5);
-  EXPECT_GT(this->choose().size(), 8U);
-  EXPECT_LE(this->choose().size(), Usual);
+  const std::size_t InLull = Load(0);
+  EXPECT_LT(InLull, AtPeak);
+  EXPECT_GT(InLull, 8U) << "the load of six seconds ago is forgotten";
 }
 
 // VMs that differ in what they were told in which order must not place callers
