Platform, Discovery: each field of a published value has a range

Cause: another program may write an odd entry beside those of the searchers.  slots were taken as 2, a cold_left_ms of 2^63-1 overflowed, a min_coverage above 1 read past the end of a list in LoadAdmission, and an id with a line break would have written headers of its own into each request to the searcher. Odd values and keys of other programs were also passed on to peers; one that the transfer cannot hold would have failed each pull.

A route with an odd field is left out and the others stay; a table that is odd as a whole leaves the version before in effect. A malformed value goes to peers as a removal of its key, keys of other programs not at all, and its problem is logged once. EventLog counts events.

--- a/Source/Discovery/ItemDecoder.h
+++ b/Source/Discovery/ItemDecoder.h
@@ -4,6 +4,8 @@
 #include "Discovery/PublishedItem.h"
 #include "Discovery/StoreItem.h"
 
+#include <string>
+
 namespace acaciacross::discovery {
 
 /// Decodes published values of the store.
@@ -11,6 +13,9 @@
 public:
   virtual ~ItemDecoder() = default;
 
+  /// Whether this VM uses the values of the key. Values of other keys belong to
+  /// other programs.
+  virtual bool isUsed(const std::string &Key) const = 0;
   virtual PublishedItem decode(const StoreItem &Item) const = 0;
 };
 
--- a/Source/Discovery/PublishedItem.h
+++ b/Source/Discovery/PublishedItem.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace acaciacross::discovery {
 
@@ -17,6 +18,8 @@
   std::shared_ptr<const forwarding::RoutingTable> Table;
   /// Why the value is malformed; empty if it is valid or not used.
   std::string Problem;
+  /// What an otherwise valid value has left out, and why.
+  std::vector<std::string> LeftOut;
 };
 
 } // namespace acaciacross::discovery
--- a/Source/Discovery/PublishedState.cpp
+++ b/Source/Discovery/PublishedState.cpp
@@ -26,18 +26,15 @@
   std::set<std::string> Present;
   for (const StoreItem &Item : Items) {
     Present.insert(Item.Key);
-    if (this->recordChange({Item, false}))
-      this->apply(Item);
+    this->applyItem(Item);
   }
   std::vector<std::string> Missing;
   for (const auto &[Key, Change] : this->LatestChanges)
     if (!Change.IsRemoval && !Present.contains(Key) &&
         Change.Item.Revision <= Revision)
       Missing.push_back(Key);
-  for (const std::string &Key : Missing) {
-    this->recordChange({{Key, "", Revision}, true});
-    this->removeEntry(Key);
-  }
+  for (const std::string &Key : Missing)
+    this->applyRemoval(Key, Revision);
   this->KnownRevision = std::max(this->KnownRevision, Revision);
   // Removals before this revision of keys that were never known here are
   // unknown, so a peer at an older revision needs all items instead of the
@@ -50,12 +47,10 @@
                                std::uint64_t Revision) {
   this->KnownRevision = std::max(this->KnownRevision, Revision);
   for (const StoreChange &Change : Changes) {
-    if (!this->recordChange(Change))
-      continue;
     if (Change.IsRemoval)
-      this->removeEntry(Change.Item.Key);
+      this->applyRemoval(Change.Item.Key, Change.Item.Revision);
     else
-      this->apply(Change.Item);
+      this->applyItem(Change.Item);
   }
 }
 
@@ -146,17 +141,18 @@
 
 // Changes come from the store and from peers, so an older change can arrive
 // after a newer one. It must not restore a removed entry.
-bool PublishedState::recordChange(const StoreChange &Change) {
+bool PublishedState::isNewer(const std::string &Key,
+                             std::uint64_t Revision) const {
+  const auto Known = this->LatestChanges.find(Key);
+  return Known == this->LatestChanges.end() ||
+         Known->second.Item.Revision < Revision;
+}
+
+void PublishedState::recordChange(StoreChange Change) {
   const auto [It, IsNew] =
-      this->LatestChanges.try_emplace(Change.Item.Key, Change);
-  if (IsNew) {
+      this->LatestChanges.insert_or_assign(Change.Item.Key, Change);
+  if (IsNew)
     this->pruneRemovals();
-    return true;
-  }
-  if (It->second.Item.Revision >= Change.Item.Revision)
-    return false;
-  It->second = Change;
-  return true;
 }
 
 void PublishedState::pruneRemovals() {
@@ -175,23 +171,62 @@
   return this->AnsweredAt;
 }
 
-void PublishedState::apply(const StoreItem &Item) {
+void PublishedState::applyRemoval(const std::string &Key,
+                                  std::uint64_t Revision) {
+  if (!this->Decoder.isUsed(Key) || !this->isNewer(Key, Revision))
+    return;
+  this->recordChange({{Key, "", Revision}, true});
+  this->Problems.erase(Key);
+  this->removeEntry(Key);
+}
+
+void PublishedState::applyItem(const StoreItem &Item) {
+  if (!this->Decoder.isUsed(Item.Key) ||
+      !this->isNewer(Item.Key, Item.Revision))
+    return;
   PublishedItem Decoded = this->Decoder.decode(Item);
   if (!Decoded.Problem.empty()) {
-    this->Log.write(
-        logging::LogRecord(common::LogEvent::EntryMalformed)
-            .text("key", Item.Key)
-            .number("revision", static_cast<std::int64_t>(Item.Revision))
-            .text("reason", Decoded.Problem));
-    this->eraseEntry(Item.Key, "its entry is malformed");
+    this->applyMalformed(Item, Decoded.Problem);
     return;
   }
+  this->recordChange({Item, false});
+  this->Problems.erase(Item.Key);
+  this->logLeftOut(Item, Decoded.LeftOut);
   if (Decoded.Searcher)
     this->updateSearcher(Item, std::move(*Decoded.Searcher));
   if (Decoded.Table != nullptr)
     this->updateTable(std::move(Decoded.Table));
 }
 
+// Peers are told of a removal, so that a value that no VM can use goes no
+// further.
+void PublishedState::applyMalformed(const StoreItem &Item,
+                                    const std::string &Problem) {
+  this->recordChange({{Item.Key, "", Item.Revision}, true});
+  this->eraseEntry(Item.Key, "its entry is malformed");
+  std::string &Logged = this->Problems[Item.Key];
+  if (Logged == Problem)
+    return;
+  Logged = Problem;
+  this->Log.write(
+      logging::LogRecord(common::LogEvent::EntryMalformed)
+          .text("key", Item.Key)
+          .number("revision", static_cast<std::int64_t>(Item.Revision))
+          .text("reason", Problem));
+}
+
+void PublishedState::logLeftOut(const StoreItem &Item,
+                                const std::vector<std::string> &LeftOut) {
+  constexpr std::size_t MaxLines = 8;
+  for (std::size_t I = 0; I < std::min(MaxLines, LeftOut.size()); ++I)
+    this->Log.write(
+        logging::LogRecord(common::LogEvent::EntryMalformed)
+            .text("key", Item.Key)
+            .number("revision", static_cast<std::int64_t>(Item.Revision))
+            .text("reason", LeftOut[I])
+            .number("left_out", static_cast<std::int64_t>(LeftOut.size())));
+}
+
 void PublishedState::updateSearcher(const StoreItem &Item,
                                     forwarding::SearcherEntry Entry) {
   SearcherRecord &Record = this->Entries[Item.Key];
--- a/Source/Discovery/PublishedState.h
+++ b/Source/Discovery/PublishedState.h
@@ -65,11 +65,17 @@
     std::optional<common::MonotonicTime> RetainedUntil;
   };
 
-  /// Records the change for peers. Returns false if a newer change of the key
-  /// is known.
-  bool recordChange(const StoreChange &Change);
+  bool isNewer(const std::string &Key, std::uint64_t Revision) const;
+  /// Records the change for peers.
+  void recordChange(StoreChange Change);
   void pruneRemovals();
-  void apply(const StoreItem &Item);
+  /// Removes the entry of the key unless a newer change is known.
+  void applyRemoval(const std::string &Key, std::uint64_t Revision);
+  void applyItem(const StoreItem &Item);
+  void applyMalformed(const StoreItem &Item, const std::string &Problem);
+  /// Logs what a routing table has left out.
+  void logLeftOut(const StoreItem &Item,
+                  const std::vector<std::string> &LeftOut);
   void updateSearcher(const StoreItem &Item, forwarding::SearcherEntry Entry);
   void updateTable(std::shared_ptr<const forwarding::RoutingTable> Table);
   void removeEntry(const std::string &Key);
@@ -82,6 +88,8 @@
   std::shared_ptr<const forwarding::RoutingTable> Table;
   /// The last change of each key, including removals.
   std::map<std::string, StoreChange> LatestChanges;
+  /// The problems of malformed values by key, as logged.
+  std::map<std::string, std::string> Problems;
   std::uint64_t KnownRevision = 0;
   /// Removals up to this revision may be unknown.
   std::uint64_t RemovalsUnknownUpTo = 0;
--- a/Source/Json/JsonNode.cpp
+++ b/Source/Json/JsonNode.cpp
@@ -60,6 +60,8 @@
   return Current.IsArray() ? Current.Size() : 0;
 }
 
+bool JsonNode::isMissing() const { return valueOf(this->Value).IsNull(); }
+
 bool JsonNode::isObject() const { return valueOf(this->Value).IsObject(); }
 
 bool JsonNode::isArray() const { return valueOf(this->Value).IsArray(); }
--- a/Source/Json/JsonNode.h
+++ b/Source/Json/JsonNode.h
@@ -22,6 +22,8 @@
   /// Number of elements of an array; 0 for other values.
   std::size_t size() const;
 
+  /// Whether the node is empty or its value is null.
+  bool isMissing() const;
   bool isObject() const;
   bool isArray() const;
   /// The following are empty when the value has another type.
--- a/Source/Logging/EventLog.cpp
+++ b/Source/Logging/EventLog.cpp
@@ -22,6 +22,12 @@
 // How long close waits for a reader that does not read.
 constexpr int CloseTimeoutMs = 200;
 
+std::size_t indexOf(common::LogEvent Event) {
+  const auto Events = common::allLogEvents();
+  return static_cast<std::size_t>(std::ranges::lower_bound(Events, Event) -
+                                  Events.begin());
+}
+
 // Signals are handled by the main thread only.
 void blockSignals() {
   sigset_t AllSignals;
@@ -32,7 +38,8 @@
 } // namespace
 
 EventLog::EventLog(const common::Clock &TimeSource, int OutputFd)
-    : Time(TimeSource), OutputFd(OutputFd), Writer([this] {
+    : Time(TimeSource), OutputFd(OutputFd),
+      Counts(common::allLogEvents().size()), Writer([this] {
         blockSignals();
         this->run();
       }) {}
@@ -44,6 +51,7 @@
 }
 
 void EventLog::write(const LogRecord &Record) {
+  ++this->Counts[indexOf(Record.event())];
   const std::string Prefix = this->commonMembers();
   bool WasEmpty = false;
   {
@@ -61,6 +69,10 @@
     this->QueueChanged.notify_one();
 }
 
+std::uint64_t EventLog::count(common::LogEvent Event) const {
+  return this->Counts[indexOf(Event)];
+}
+
 std::uint64_t EventLog::dropped() const { return this->Dropped; }
 
 void EventLog::close() {
--- a/Source/Logging/EventLog.h
+++ b/Source/Logging/EventLog.h
@@ -31,6 +31,8 @@
   /// Thread-safe. Never waits for the reader.
   void write(const LogRecord &Record);
 
+  /// Number of events of this kind so far, dropped lines included.
+  std::uint64_t count(common::LogEvent Event) const;
   /// Number of lines dropped so far.
   std::uint64_t dropped() const;
   /// Writes the queued lines, unless the reader is too slow, and ends the
@@ -52,6 +54,8 @@
   std::string Queue;
   bool Closing = false;
   std::atomic<std::uint64_t> Dropped = 0;
+  /// In the order of common::allLogEvents.
+  std::vector<std::atomic<std::uint64_t>> Counts;
   std::uint64_t DroppedReported = 0;
   std::thread Writer;
 };
--- a/Source/Logging/LogRecord.cpp
+++ b/Source/Logging/LogRecord.cpp
@@ -29,13 +29,15 @@
 
 } // namespace
 
-LogRecord::LogRecord(common::LogEvent Event) {
+LogRecord::LogRecord(common::LogEvent Event) : Event(Event) {
   this->Members.reserve(256);
   this->Members.append("\"event\":")
       .append(std::to_string(static_cast<int>(Event)));
   this->text("name", common::logEventName(Event));
 }
 
+common::LogEvent LogRecord::event() const { return this->Event; }
+
 LogRecord &LogRecord::text(std::string_view Name, std::string_view Value) {
   this->name(Name);
   this->Members += '"';
--- a/Source/Logging/LogRecord.h
+++ b/Source/Logging/LogRecord.h
@@ -25,6 +25,7 @@
   LogRecord &milliseconds(std::string_view Name,
                           std::chrono::nanoseconds Duration);
 
+  common::LogEvent event() const;
   /// The members so far, without the surrounding braces.
   const std::string &members() const;
 
@@ -32,6 +33,7 @@
   /// Appends the name of the next member.
   void name(std::string_view Name);
 
+  common::LogEvent Event;
   std::string Members;
 };
 
--- a/Source/UnitTests/Discovery/PublishedStateTest.cpp
+++ b/Source/UnitTests/Discovery/PublishedStateTest.cpp
@@ -13,6 +13,10 @@
 /// Decodes the values "searcher", "draining", "bad" and "version:N".
 class FakeDecoder final : public ItemDecoder {
 public:
+  bool isUsed(const std::string &Key) const override {
+    return !Key.starts_with("other/");
+  }
+
   PublishedItem decode(const StoreItem &Item) const override {
     PublishedItem Decoded;
     if (Item.Value == "bad") {
@@ -126,6 +130,45 @@
   EXPECT_EQ(this->State.searchers().front().Id.Value, "b");
 }
 
+// A value that no VM can use, for example a very large one, must not travel
+// further: the transfer of all other values to a peer could fail with it.
+TEST_F(PublishedStateTest, PeersAreToldOfAMalformedEntryAsARemoval) {
+  this->change("a", "searcher");
+  this->change("a", "bad");
+  this->change("b", "searcher");
+  const auto Changes = this->State.changesAfter(0);
+  ASSERT_EQ(Changes.size(), 2U);
+  EXPECT_TRUE(Changes[0].IsRemoval);
+  EXPECT_EQ(Changes[0].Item.Value, "");
+  EXPECT_EQ(this->State.items().size(), 1U);
+}
+
+TEST_F(PublishedStateTest, EntryIsUsedAgainOnceItIsValid) {
+  this->change("a", "bad");
+  this->change("a", "searcher");
+  EXPECT_EQ(this->searcherCount(), 1U);
+  EXPECT_EQ(this->State.items().size(), 1U);
+}
+
+// Other programs may write keys and values of any number and size.
+TEST_F(PublishedStateTest, KeysOfOtherProgramsAreNeitherKeptNorPassedOn) {
+  this->change("other/a", "anything");
+  this->remove("other/b");
+  EXPECT_TRUE(this->State.changesAfter(0).empty());
+  EXPECT_TRUE(this->State.items().empty());
+  EXPECT_EQ(this->State.revision(), 2U);
+}
+
+// An entry is written again about once a second; its problem is logged once.
+TEST_F(PublishedStateTest, ProblemOfAnEntryIsLoggedOnce) {
+  for (int I = 0; I < 5; ++I)
+    this->change("a", "bad");
+  EXPECT_EQ(this->Log.count(common::LogEvent::EntryMalformed), 1U);
+  this->change("a", "searcher");
+  this->change("a", "bad");
+  EXPECT_EQ(this->Log.count(common::LogEvent::EntryMalformed), 2U);
+}
+
 // Changes also come from peers, in any order; an older one must not restore a
 // removed entry.
 TEST_F(PublishedStateTest, OlderChangeDoesNotBringBackWhatWasRemoved) {
--- a/Source/UnitTests/Fleet/PublishedStateExchangeTest.cpp
+++ b/Source/UnitTests/Fleet/PublishedStateExchangeTest.cpp
@@ -18,6 +18,8 @@
 /// Decodes every item as a searcher with the key as its id.
 class IdDecoder final : public discovery::ItemDecoder {
 public:
+  bool isUsed(const std::string &) const override { return true; }
+
   discovery::PublishedItem
   decode(const discovery::StoreItem &Item) const override {
     discovery::PublishedItem Decoded;
--- a/Source/UnitTests/platform/StoreItemDecoderTest.cpp
+++ b/Source/UnitTests/platform/StoreItemDecoderTest.cpp
@@ -67,6 +67,107 @@
     EXPECT_FALSE(this->decode("servers/i-1", Bytes).Problem.empty());
 }
 
+// A value that is cut to fewer bits or overflows would count as another one.
+TEST_F(StoreItemDecoderTest, EntryWithNumberOutOfRangeIsReported) {
+  for (const auto &[From, To] :
+       {std::pair{"\"slots\":2", "\"slots\":4294967298"},
+        std::pair{"\"slots\":2", "\"slots\":0"},
+        std::pair{"\"slots\":2", "\"slots\":1e400"},
+        std::pair{"\"slots\":2", "\"slots\":1.5"},
+        std::pair{"\"cold_left_ms\":7", "\"cold_left_ms\":9223372036854775807"},
+        std::pair{"\"cold_left_ms\":7", "\"cold_left_ms\":-1"},
+        std::pair{"\"seq\":4", "\"seq\":99999999999999999999"},
+        std::pair{"\"born\":99", "\"born\":-1"},
+        std::pair{"10.0.0.9:80", "10.0.0.9:0"},
+        std::pair{"10.0.0.9:80", "10.0.0.9:65536"},
+        std::pair{"10.0.0.9:80", "10.0.0.9:-1"},
+        std::pair{"10.0.0.9:80", "10.0.0.9:99999999999"}}) {
+    const auto Item =
+        this->decode("servers/i-1", replaceFirst(this->Entry, From, To));
+    EXPECT_FALSE(Item.Searcher) << To;
+    EXPECT_FALSE(Item.Problem.empty()) << To;
+  }
+}
+
+TEST_F(StoreItemDecoderTest, ProblemNamesFieldValueAndRange) {
+  EXPECT_EQ(this->decode("servers/i-1", replaceFirst(this->Entry, "\"slots\":2",
+                                                     "\"slots\":4294967296"))
+                .Problem,
+            "slots is 4294967296; allowed: a number from 1 to 65536");
+}
+
+// The id and the service are written into headers, log lines and labels of
+// metrics; a line break in them would start a request of its own.
+TEST_F(StoreItemDecoderTest, NamesWithControlCharactersAreReported) {
+  for (const std::string &Id :
+       {std::string("x\r\nX-Request-Id: 1"), std::string("a b"),
+        std::string(1, '\0'), std::string("\xc3\xa9"), std::string()}) {
+    const auto Item = this->decode("servers/" + Id, this->Entry);
+    EXPECT_FALSE(Item.Searcher) << Id;
+    EXPECT_FALSE(Item.Problem.empty()) << Id;
+  }
+  EXPECT_FALSE(
+      this->decode("servers/i-1", replaceFirst(this->Entry, "\"service\":\"s\"",
+                                               R"("service":"s\r\nX: 1")"))
+          .Searcher);
+}
+
+// A recursive parser or writer would overflow the stack.
+TEST_F(StoreItemDecoderTest, DeeplyNestedValueIsReported) {
+  constexpr std::size_t Depth = 500'000;
+  std::string Objects;
+  for (std::size_t I = 0; I < Depth; ++I)
+    Objects += "{\"a\":";
+  EXPECT_FALSE(
+      this->decode("servers/i-1", std::string(Depth, '[')).Problem.empty());
+  EXPECT_FALSE(this->decode("servers/i-1", Objects).Problem.empty());
+  const std::string Nested = std::string(Depth, '[') + std::string(Depth, ']');
+  EXPECT_FALSE(this->decode("servers/i-1", Nested).Problem.empty());
+  const auto InField =
+      this->decode("servers/i-1", replaceFirst(this->Entry, "\"slots\":2",
+                                               "\"slots\":" + Nested));
+  EXPECT_EQ(InField.Problem,
+            "slots is an array; allowed: a number from 1 to 65536");
+}
+
+// One route that cannot be used must not take the others away.
+TEST_F(StoreItemDecoderTest, RouteWithInvalidFieldIsLeftOut) {
+  for (const auto &[From, To] :
+       {std::pair{"\"timeout_ms\":1000", "\"timeout_ms\":-1"},
+        std::pair{"\"timeout_ms\":1000", "\"timeout_ms\":4e18"},
+        std::pair{"\"latency_target_ms\":120", "\"latency_target_ms\":\"x\""},
+        std::pair{"\"max_attempts\":2", "\"max_attempts\":4294967297"},
+        std::pair{"\"top_k\":10", "\"top_k\":-3"},
+        std::pair{"\"min_coverage\":0.5", "\"min_coverage\":1.5"},
+        std::pair{"\"min_coverage\":0.5", "\"min_coverage\":-1"},
+        std::pair{"[\"s\",\"t\"]", "[\"s\",\"s\"]"},
+        std::pair{"[\"s\",\"t\"]", "[\"s\",7]"},
+        std::pair{"\"priority\":1", "\"priority\":9223372036854775807"}}) {
+    const auto Item =
+        this->decode("op/config", replaceFirst(this->Routes, From, To));
+    ASSERT_NE(Item.Table, nullptr) << To;
+    EXPECT_EQ(Item.Table->match("h", "/q/1"), nullptr) << To;
+    EXPECT_NE(Item.Table->match("h", "/p/1"), nullptr) << To;
+    EXPECT_EQ(Item.LeftOut.size(), 1U) << To;
+  }
+}
+
+// The version before stays in effect.
+TEST_F(StoreItemDecoderTest, RoutingTableThatIsInvalidAsAWholeIsReported) {
+  for (const auto &[From, To] :
+       {std::pair{"\"version\":7", "\"version\":-7"},
+        std::pair{"\"version\":7", "\"version\":1e30"},
+        std::pair{"\"routes\":[", "\"paths\":["},
+        std::pair{"\"max_body_bytes\":200", "\"max_body_bytes\":-200"},
+        std::pair{"\"idle_timeout_ms\":400",
+                  "\"idle_timeout_ms\":9223372036854775807"}}) {
+    const auto Item =
+        this->decode("op/config", replaceFirst(this->Routes, From, To));
+    EXPECT_EQ(Item.Table, nullptr) << To;
+    EXPECT_FALSE(Item.Problem.empty()) << To;
+  }
+}
+
 // The store also holds keys of other programs; they must not be reported.
 TEST_F(StoreItemDecoderTest, OtherKeysAreIgnored) {
   const auto Item = this->decode("other/key", "{");
