Forwarding, Gateway: searchers that leave or ask for time are left alone

Cause: a searcher says in each answer that it leaves (Server-Leaving), and may add Retry-After to a 503; nothing read either. Endless bytes of a searcher were bounded per connection only: a query over 105 shards could hold 840 MB.

Change: SearcherCodec decodes both into a SearcherNotice, from each answer, also a discarded or a late one. SearcherNotices remembers them for the run of the searcher, also while it is not listed. No kind of attempt goes to a searcher that leaves or is paused; a request waits for a pause that ends within its target, and a refusal names the time at which the first searchers may be asked again (AvailabilityForecast). A pause is above 0 and at most an hour; any other text is logged once and bounds nothing. ResponseBufferBudget bounds all incomplete responses to a quarter of the memory in the settings and ends the largest one; after 32 messages that answer nothing a connection is closed. Load and idle timeout are numbers in a range, with nothing after them.

--- a/Source/Common/LogEvent.cpp
+++ b/Source/Common/LogEvent.cpp
@@ -42,6 +42,9 @@
     LogEvent::SearcherListed,
     LogEvent::SearcherUnlisted,
     LogEvent::EntryMalformed,
+    LogEvent::SearcherPaused,
+    LogEvent::ResponseHeaderInvalid,
+    LogEvent::ResponseBuffersFull,
     LogEvent::RequestRefused,
     LogEvent::RequestFailed,
     LogEvent::ReplyDiscarded,
@@ -127,6 +130,12 @@
     return "SearcherUnlisted";
   case LogEvent::EntryMalformed:
     return "EntryMalformed";
+  case LogEvent::SearcherPaused:
+    return "SearcherPaused";
+  case LogEvent::ResponseHeaderInvalid:
+    return "ResponseHeaderInvalid";
+  case LogEvent::ResponseBuffersFull:
+    return "ResponseBuffersFull";
   case LogEvent::RequestRefused:
     return "RequestRefused";
   case LogEvent::RequestFailed:
--- a/Source/Common/LogEvent.h
+++ b/Source/Common/LogEvent.h
@@ -49,6 +49,9 @@
   SearcherListed = 407,
   SearcherUnlisted = 408,
   EntryMalformed = 409,
+  SearcherPaused = 410,
+  ResponseHeaderInvalid = 411,
+  ResponseBuffersFull = 412,
 
   RequestRefused = 500,
   RequestFailed = 501,
--- /dev/null
+++ b/Source/Forwarding/AvailabilityForecast.h
@@ -0,0 +1,30 @@
+#ifndef ACACIACROSS_FORWARDING_AVAILABILITYFORECAST_H
+#define ACACIACROSS_FORWARDING_AVAILABILITYFORECAST_H
+
+#include "Common/Identifiers.h"
+#include "Common/Time.h"
+#include "Forwarding/ServiceRegistry.h"
+
+#include <chrono>
+#include <cstddef>
+#include <span>
+
+namespace acaciacross::forwarding {
+
+/// Tells when a refused caller may come back, from the pauses that the
+/// searchers of its services have asked for.
+class AvailabilityForecast {
+public:
+  /// Returns the time until MinServices of the services have a searcher that
+  /// may be asked. OtherDelay: the time for a service that no pause keeps from
+  /// being asked, but that is not usable for another reason.
+  static std::chrono::milliseconds
+  untilUsable(const ServiceRegistry &Registry,
+              std::span<const common::ServiceName> Services,
+              std::size_t MinServices, common::MonotonicTime Now,
+              std::chrono::milliseconds OtherDelay);
+};
+
+} // namespace acaciacross::forwarding
+
+#endif
--- a/Source/Forwarding/Execution.cpp
+++ b/Source/Forwarding/Execution.cpp
@@ -1,7 +1,10 @@
 #include "Forwarding/Execution.h"
 
+#include "Forwarding/AvailabilityForecast.h"
+
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace acaciacross::forwarding {
 
@@ -107,7 +110,7 @@
     Result.Kind = AnswerKind::Refused;
     Result.Code = common::ResultCode::NoUsableReplica;
     Result.Message.Status = Unavailable;
-    Result.RetryAfter = RetryDelay;
+    Result.RetryAfter = this->untilUsable();
     return Result;
   }
   Result.Kind = AnswerKind::Failed;
@@ -117,6 +120,17 @@
   return Result;
 }
 
+std::chrono::milliseconds Execution::untilUsable() const {
+  std::vector<common::ServiceName> Services;
+  for (const SubRequest &Sub : this->SubRequests)
+    Services.push_back(Sub.service());
+  const auto &Gather = this->Request->Target->Gather;
+  return std::max(RetryDelay, AvailabilityForecast::untilUsable(
+                                  this->Dependencies.Services, Services,
+                                  Gather ? Gather->minShards() : 1, this->now(),
+                                  RetryDelay));
+}
+
 void Execution::evaluate() {
   if (this->Finished)
     return;
--- a/Source/Forwarding/Execution.h
+++ b/Source/Forwarding/Execution.h
@@ -5,6 +5,7 @@
 #include "Forwarding/ForwardingDependencies.h"
 #include "Forwarding/SubRequest.h"
 
+#include <chrono>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -52,6 +53,8 @@
   Answer failure(bool IsDeadlinePassed) const;
 
 private:
+  /// Time until the searchers of the request may be asked again.
+  std::chrono::milliseconds untilUsable() const;
   void evaluate();
   void finish(Answer Result);
 
--- a/Source/Forwarding/ForwardRequest.h
+++ b/Source/Forwarding/ForwardRequest.h
@@ -26,6 +26,10 @@
   /// Keeps the routing table alive that Target points into.
   std::shared_ptr<const RoutingTable> Table;
   const Route *Target = nullptr;
+
+  /// Latest time at which an attempt can start and still be answered within
+  /// the latency target. Typical: typical latency of an attempt.
+  common::MonotonicTime latestStart(std::chrono::nanoseconds Typical) const;
 };
 
 } // namespace acaciacross::forwarding
--- a/Source/Forwarding/LeastDelaySelector.cpp
+++ b/Source/Forwarding/LeastDelaySelector.cpp
@@ -22,8 +22,7 @@
   std::shared_ptr<ReplicaRecord> Best;
   double BestDelay = 0.0;
   for (const std::shared_ptr<ReplicaRecord> &Replica : Replicas) {
-    if (!Replica->isListed() || !Replica->isReachable(Now) ||
-        Replica->isUnresponsive(Now, Typical) ||
+    if (!Replica->isUsable(Now) || Replica->isUnresponsive(Now, Typical) ||
         std::ranges::count(Tried, Replica.get()) > 0 ||
         !Sender.hasFreeConnection(*Replica))
       continue;
--- a/Source/Forwarding/LoadAdmission.cpp
+++ b/Source/Forwarding/LoadAdmission.cpp
@@ -23,7 +23,7 @@
   std::optional<double> Queue;
   std::size_t Usable = 0;
   for (const auto &Replica : Registry.replicas(Service)) {
-    if (!Replica->isListed() || !Replica->isReachable(Now))
+    if (!Replica->isUsable(Now))
       continue;
     ++Usable;
     if (const auto Reported = Replica->queuePerSlot(Now))
--- a/Source/Forwarding/ReachabilityAdmission.cpp
+++ b/Source/Forwarding/ReachabilityAdmission.cpp
@@ -1,5 +1,7 @@
 #include "Forwarding/ReachabilityAdmission.h"
 
+#include "Forwarding/AvailabilityForecast.h"
+
 #include <algorithm>
 
 namespace acaciacross::forwarding {
@@ -11,10 +13,12 @@
 constexpr std::chrono::milliseconds RetryDelay{500};
 
 bool canServe(const ServiceRegistry &Registry,
-              const common::ServiceName &Service, common::MonotonicTime Now) {
+              const common::ServiceName &Service, common::MonotonicTime Now,
+              common::MonotonicTime LatestStart) {
   return std::ranges::any_of(
       Registry.replicas(Service), [&](const auto &Replica) {
-        return Replica->isListed() && Replica->isReachable(Now);
+        return Replica->isListed() && Replica->isReachable(Now) &&
+               Replica->pausedUntil() <= LatestStart;
       });
 }
 
@@ -25,15 +29,21 @@
                              std::span<const common::ServiceName> Services,
                              const ServiceRegistry &Registry,
                              common::MonotonicTime Now) const {
+  const common::MonotonicTime LatestStart = std::max(
+      Now, Request.latestStart(Registry.latency(*Request.Target).Typical));
   const auto UsableServices =
       std::ranges::count_if(Services, [&](const auto &Service) {
-        return canServe(Registry, Service, Now);
+        return canServe(Registry, Service, Now, LatestStart);
       });
   const std::size_t MinServices =
       Request.Target->Gather ? Request.Target->Gather->minShards() : 1;
   if (static_cast<std::size_t>(UsableServices) >= MinServices)
     return std::nullopt;
-  return Refusal{common::ResultCode::NoUsableReplica, RetryDelay, {}, {}};
+  return Refusal{common::ResultCode::NoUsableReplica,
+                 AvailabilityForecast::untilUsable(
+                     Registry, Services, MinServices, Now, RetryDelay),
+                 {},
+                 {}};
 }
 
 } // namespace acaciacross::forwarding
--- a/Source/Forwarding/ReplicaRecord.cpp
+++ b/Source/Forwarding/ReplicaRecord.cpp
@@ -51,9 +51,7 @@
 const SearcherEntry &ReplicaRecord::entry() const { return this->Entry; }
 
 void ReplicaRecord::update(SearcherEntry Published) {
-  const bool IsRestarted =
-      Published.StartedUnixMs != this->Entry.StartedUnixMs ||
-      Published.Endpoint != this->Entry.Endpoint;
+  const bool IsRestarted = !Published.isSameRun(this->Entry);
   this->Entry = std::move(Published);
   this->Removed = false;
   if (!IsRestarted)
@@ -62,12 +60,18 @@
   this->FailureRate = 0.0;
   this->UnreachableUntil = {};
   this->NextBackOff = {};
+  this->Leaving = false;
+  this->PausedUntil = {};
 }
 
 void ReplicaRecord::markRemoved() { this->Removed = true; }
 
 bool ReplicaRecord::isListed() const {
-  return !this->Removed && !this->Entry.IsDraining;
+  return !this->Removed && !this->Entry.IsDraining && !this->Leaving;
+}
+
+bool ReplicaRecord::isUsable(common::MonotonicTime Now) const {
+  return this->isListed() && !this->isPaused(Now) && this->isReachable(Now);
 }
 
 void ReplicaRecord::onSent(common::MonotonicTime Now) {
@@ -119,6 +123,14 @@
   this->UnreachableUntil = Now + this->NextBackOff;
 }
 
+void ReplicaRecord::onLeaving() { this->Leaving = true; }
+
+// A later response may ask for a shorter pause, for example one that was sent
+// before the last. The searcher must get nothing until both are over.
+void ReplicaRecord::onPauseRequested(common::MonotonicTime Until) {
+  this->PausedUntil = std::max(this->PausedUntil, Until);
+}
+
 void ReplicaRecord::onLoadReported(common::MonotonicTime Now,
                                    const SearcherLoad &Reported) {
   this->Load = Reported;
@@ -132,6 +144,16 @@
   return !IsRetrying || this->Outstanding.empty();
 }
 
+bool ReplicaRecord::isPaused(common::MonotonicTime Now) const {
+  return Now < this->PausedUntil;
+}
+
+common::MonotonicTime ReplicaRecord::pausedUntil() const {
+  return this->PausedUntil;
+}
+
+bool ReplicaRecord::isLeaving() const { return this->Leaving; }
+
 bool ReplicaRecord::isUnresponsive(common::MonotonicTime Now,
                                    std::chrono::nanoseconds Typical) const {
   if (this->Outstanding.empty())
--- a/Source/Forwarding/ReplicaRecord.h
+++ b/Source/Forwarding/ReplicaRecord.h
@@ -21,8 +21,12 @@
   /// if the searcher was restarted.
   void update(SearcherEntry Published);
   void markRemoved();
-  /// Whether the searcher is published and not draining.
+  /// Whether the searcher is published, not draining and has not announced in
+  /// a response that it leaves.
   bool isListed() const;
+  /// Whether an attempt may be sent to the searcher now: it is listed,
+  /// reachable and has not asked for a pause.
+  bool isUsable(common::MonotonicTime Now) const;
 
   void onSent(common::MonotonicTime Now);
   /// Ends the attempt that was sent at SentAt.
@@ -36,11 +40,21 @@
   void onFailed(common::MonotonicTime Now);
   /// No connection could be established, or the connection does not respond.
   void onUnreachable(common::MonotonicTime Now);
+  /// The searcher has announced that it leaves. Holds until it is restarted.
+  void onLeaving();
+  /// The searcher must get nothing until the given time.
+  void onPauseRequested(common::MonotonicTime Until);
   void onLoadReported(common::MonotonicTime Now, const SearcherLoad &Reported);
 
   /// False for a back-off time after a failed connection, and then while a
   /// single trial attempt is outstanding.
   bool isReachable(common::MonotonicTime Now) const;
+  /// Whether a pause that the searcher asked for is not over.
+  bool isPaused(common::MonotonicTime Now) const;
+  /// The end of the pause that the searcher asked for last; in the past when
+  /// there is none.
+  common::MonotonicTime pausedUntil() const;
+  bool isLeaving() const;
   /// Whether an attempt is unanswered for much longer than a usual pause of a
   /// searcher lasts.
   bool isUnresponsive(common::MonotonicTime Now,
@@ -61,6 +75,8 @@
 private:
   SearcherEntry Entry;
   bool Removed = false;
+  bool Leaving = false;
+  common::MonotonicTime PausedUntil;
   std::multiset<common::MonotonicTime> Outstanding;
   double LatencyRatio = 1.0;
   common::MonotonicTime LatencyRatioAt;
--- a/Source/Forwarding/SearcherEntry.h
+++ b/Source/Forwarding/SearcherEntry.h
@@ -26,6 +26,10 @@
   /// different value means that the searcher was restarted under the same id.
   std::int64_t StartedUnixMs = 0;
 
+  /// Whether both entries are of the same process: not of a restarted searcher
+  /// or of one at another address.
+  bool isSameRun(const SearcherEntry &Other) const;
+
   bool operator==(const SearcherEntry &) const = default;
 };
 
--- /dev/null
+++ b/Source/Forwarding/SearcherNotice.h
@@ -0,0 +1,23 @@
+#ifndef ACACIACROSS_FORWARDING_SEARCHERNOTICE_H
+#define ACACIACROSS_FORWARDING_SEARCHERNOTICE_H
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+namespace acaciacross::forwarding {
+
+/// What a searcher says of itself in a response, besides the answer.
+struct SearcherNotice {
+  /// The searcher stops soon and must get no new work.
+  bool IsLeaving = false;
+  /// The searcher rejected the request and must get nothing from this VM for
+  /// this long.
+  std::optional<std::chrono::milliseconds> Pause;
+  /// A requested pause that is no valid duration; empty when there is none.
+  std::string InvalidPause;
+};
+
+} // namespace acaciacross::forwarding
+
+#endif
--- a/Source/Forwarding/ServiceRegistry.cpp
+++ b/Source/Forwarding/ServiceRegistry.cpp
@@ -20,6 +20,7 @@
       Record->update(Entry);
     } else {
       Record = std::make_shared<ReplicaRecord>(Entry);
+      this->Notices.applyTo(*Record);
     }
     this->ByService[Entry.Service].push_back(Record);
     Listed.emplace(Entry.Id, std::move(Record));
@@ -46,6 +47,26 @@
 
 void ServiceRegistry::setFleet(const FleetShare &Share) { this->Fleet = Share; }
 
+bool ServiceRegistry::recordNotice(ReplicaRecord &Record,
+                                   const SearcherNotice &Notice,
+                                   common::MonotonicTime Now) {
+  bool IsNew = false;
+  const SearcherEntry &Searcher = Record.entry();
+  if (Notice.IsLeaving && !Record.isLeaving()) {
+    IsNew = true;
+    Record.onLeaving();
+    this->Notices.recordLeaving(Searcher, Now);
+  }
+  if (Notice.Pause) {
+    IsNew = IsNew || !Record.isPaused(Now);
+    Record.onPauseRequested(Now + *Notice.Pause);
+    this->Notices.recordPause(Searcher, Now, Now + *Notice.Pause);
+  }
+  if (!Notice.InvalidPause.empty())
+    IsNew = this->Notices.recordInvalid(Searcher, Now) || IsNew;
+  return IsNew;
+}
+
 const std::shared_ptr<const RoutingTable> &ServiceRegistry::table() const {
   return this->Table;
 }
--- a/Source/Forwarding/ServiceRegistry.h
+++ b/Source/Forwarding/ServiceRegistry.h
@@ -8,6 +8,8 @@
 #include "Forwarding/RouteLatency.h"
 #include "Forwarding/RouteStatistics.h"
 #include "Forwarding/RoutingTable.h"
+#include "Forwarding/SearcherNotice.h"
+#include "Forwarding/SearcherNotices.h"
 #include "Forwarding/WeightedRoundRobin.h"
 
 #include <chrono>
@@ -33,6 +35,11 @@
   void setTable(std::shared_ptr<const RoutingTable> NewTable);
   void setFleet(const FleetShare &Share);
 
+  /// Records what a searcher said of itself in a response. Returns whether the
+  /// notice changes how the searcher is used or is its first invalid one.
+  bool recordNotice(ReplicaRecord &Record, const SearcherNotice &Notice,
+                    common::MonotonicTime Now);
+
   const std::shared_ptr<const RoutingTable> &table() const;
   std::span<const std::shared_ptr<ReplicaRecord>>
   replicas(const common::ServiceName &Service) const;
@@ -48,6 +55,7 @@
   RetryBudgetSettings BudgetSettings;
   FleetShare Fleet;
   std::shared_ptr<const RoutingTable> Table;
+  SearcherNotices Notices;
   std::map<common::SearcherId, std::shared_ptr<ReplicaRecord>> Searchers;
   std::unordered_map<common::ServiceName,
                      std::vector<std::shared_ptr<ReplicaRecord>>>
--- a/Source/Forwarding/SubRequest.cpp
+++ b/Source/Forwarding/SubRequest.cpp
@@ -72,8 +72,15 @@
 
 void SubRequest::tick() {
   const common::MonotonicTime Now = this->Dependencies.Time.monotonicNow();
-  if (!this->HedgeAt || Now < *this->HedgeAt)
+  if (this->HedgeAt && Now >= *this->HedgeAt)
+    this->startHedge(Now);
+  if (!this->ResumeAt || Now < *this->ResumeAt)
     return;
+  this->ResumeAt.reset();
+  this->onConnectionAvailable();
+}
+
+void SubRequest::startHedge(common::MonotonicTime Now) {
   this->HedgeAt.reset();
   if (this->State != SubRequestState::Open || this->OpenAttempts.size() != 1 ||
       this->IsHedged || this->SentCount >= this->Request->Target->MaxAttempts)
@@ -88,7 +95,11 @@
 }
 
 std::optional<common::MonotonicTime> SubRequest::nextDue() const {
-  return this->State == SubRequestState::Open ? this->HedgeAt : std::nullopt;
+  if (this->State != SubRequestState::Open)
+    return std::nullopt;
+  if (!this->HedgeAt || !this->ResumeAt)
+    return this->HedgeAt ? this->HedgeAt : this->ResumeAt;
+  return std::min(*this->HedgeAt, *this->ResumeAt);
 }
 
 void SubRequest::abandon(AbandonMode Mode) {
@@ -138,9 +149,12 @@
   }
   const std::shared_ptr<ReplicaRecord> Replica = this->chooseReplica();
   if (Replica == nullptr) {
-    if (this->canWaitForConnection())
+    if (this->canWaitForConnection()) {
       this->Dependencies.Sender.awaitConnection(this->Service, this->Listener);
-    else
+      return;
+    }
+    this->ResumeAt = this->nextPauseEnd();
+    if (!this->ResumeAt)
       this->State = SubRequestState::Exhausted;
     return;
   }
@@ -172,12 +186,32 @@
   return std::ranges::any_of(
       this->Dependencies.Services.replicas(this->Service),
       [&](const auto &Replica) {
-        return Replica->isListed() && Replica->isReachable(Now) &&
+        return Replica->isUsable(Now) &&
                !Replica->isUnresponsive(Now, Typical) &&
-               std::ranges::count(this->Tried, Replica.get()) == 0;
+               !this->wasTried(*Replica);
       });
 }
 
+std::optional<common::MonotonicTime> SubRequest::nextPauseEnd() const {
+  const common::MonotonicTime Now = this->Dependencies.Time.monotonicNow();
+  const common::MonotonicTime LatestStart = this->Request->latestStart(
+      this->Statistics->typical(this->Request->Target->LatencyTarget));
+  std::optional<common::MonotonicTime> Earliest;
+  for (const auto &Replica :
+       this->Dependencies.Services.replicas(this->Service)) {
+    const common::MonotonicTime End = Replica->pausedUntil();
+    if (!Replica->isListed() || !Replica->isPaused(Now) || End > LatestStart ||
+        this->wasTried(*Replica))
+      continue;
+    Earliest = std::min(Earliest.value_or(End), End);
+  }
+  return Earliest;
+}
+
+bool SubRequest::wasTried(const ReplicaRecord &Replica) const {
+  return std::ranges::count(this->Tried, &Replica) > 0;
+}
+
 void SubRequest::startAttempt(const std::shared_ptr<ReplicaRecord> &Replica) {
   this->Tried.push_back(Replica.get());
   ++this->SentCount;
--- a/Source/Forwarding/SubRequest.h
+++ b/Source/Forwarding/SubRequest.h
@@ -26,7 +26,8 @@
   bool owns(AttemptNumber Attempt) const;
   void onEnded(AttemptNumber Attempt, AttemptResult Result);
   void onConnectionAvailable();
-  /// Starts the hedge if it is due.
+  /// Starts the hedge if it is due, and an attempt that waited for the end of
+  /// a searcher's pause.
   void tick();
   /// Next time at which tick must be called; empty when there is none.
   std::optional<common::MonotonicTime> nextDue() const;
@@ -52,6 +53,11 @@
   /// connection or becomes exhausted.
   void sendNext();
   std::shared_ptr<ReplicaRecord> chooseReplica() const;
+  void startHedge(common::MonotonicTime Now);
+  /// End of the first pause after which an attempt can still be answered within
+  /// the latency target; empty when there is none.
+  std::optional<common::MonotonicTime> nextPauseEnd() const;
+  bool wasTried(const ReplicaRecord &Replica) const;
   /// Whether a reachable searcher that was not tried yet only lacks a free
   /// connection.
   bool canWaitForConnection() const;
@@ -74,6 +80,8 @@
   bool MayHaveRun = false;
   bool IsHedged = false;
   std::optional<common::MonotonicTime> HedgeAt;
+  /// Set while all searchers that could be asked have requested a pause.
+  std::optional<common::MonotonicTime> ResumeAt;
   std::optional<AttemptResult> Result;
   std::vector<AttemptSummary> EndedAttempts;
 };
--- a/Source/Gateway/ResponseMetadata.h
+++ b/Source/Gateway/ResponseMetadata.h
@@ -2,6 +2,7 @@
 #define ACACIACROSS_GATEWAY_RESPONSEMETADATA_H
 
 #include "Forwarding/SearcherLoad.h"
+#include "Forwarding/SearcherNotice.h"
 
 #include <chrono>
 #include <optional>
@@ -23,6 +24,8 @@
   /// Id of the request that the response answers; empty when not given.
   std::optional<std::string> RequestId;
   std::optional<forwarding::SearcherLoad> Load;
+  /// Empty in a response of another searcher.
+  forwarding::SearcherNotice Notice;
   /// How long the searcher keeps the connection open without a request; empty
   /// when not given.
   std::optional<std::chrono::seconds> IdleTimeout;
--- a/Source/Gateway/UpstreamConnection.cpp
+++ b/Source/Gateway/UpstreamConnection.cpp
@@ -23,6 +23,9 @@
 // Several times what connecting to a searcher in another failure domain takes;
 // a partitioned searcher does not answer at all.
 constexpr std::chrono::milliseconds ConnectTimeout{400};
+// Interim responses and late answers to earlier requests that may come before
+// the answer. A searcher that sends more of them may never end.
+constexpr unsigned MaxIgnoredMessages = 32;
 
 } // namespace
 
@@ -35,18 +38,19 @@
   if (!this->Socket.isOpen()) {
     // The listener must not be called from within its own call of open.
     this->ConnectTimer = this->Loop.schedule(
-        this->Loop.now(), [Self = this->shared_from_this()] { Self->fail(); });
+        this->Loop.now(), [Self = this->shared_from_this()] { Self->abort(); });
     return;
   }
   this->Interest = EPOLLOUT;
   this->Loop.add(this->Socket.get(), *this, this->Interest);
   this->ConnectTimer =
       this->Loop.schedule(this->Loop.now() + ConnectTimeout,
-                          [Self = this->shared_from_this()] { Self->fail(); });
+                          [Self = this->shared_from_this()] { Self->abort(); });
 }
 
 void UpstreamConnection::send(std::string_view Bytes, bool HasBody) {
   this->Parser.expect(HasBody);
+  this->IgnoredCount = 0;
   this->Busy = true;
   this->write(Bytes);
 }
@@ -86,7 +90,7 @@
 
 void UpstreamConnection::finishConnect() {
   if (net::takeSocketError(this->Socket) != 0) {
-    this->fail();
+    this->abort();
     return;
   }
   this->Connected = true;
@@ -104,7 +108,7 @@
     return;
   // Bytes that arrive without a request in progress belong to no response.
   if (!this->Busy || Count < 0) {
-    this->fail();
+    this->abort();
     return;
   }
   if (Count > 0) {
@@ -118,18 +122,24 @@
       return;
     this->Busy = true;
   }
-  this->fail();
+  this->abort();
 }
 
 void UpstreamConnection::parse(std::string_view Bytes) {
   while (!Bytes.empty()) {
     Bytes.remove_prefix(this->Parser.feed(Bytes));
     if (this->Parser.problem() != http::ParseProblem::None) {
-      this->fail();
+      this->abort();
       return;
     }
-    if (!this->Parser.isComplete())
+    if (!this->Parser.isComplete()) {
+      this->Listener.onBuffered(*this, this->Parser.heldBytes());
       return;
+    }
+    if (++this->IgnoredCount > MaxIgnoredMessages) {
+      this->abort();
+      return;
+    }
     if (this->Parser.isInterim()) {
       this->Parser.take();
       continue;
@@ -170,7 +180,7 @@
   this->Loop.change(this->Socket.get(), Wanted);
 }
 
-void UpstreamConnection::fail() {
+void UpstreamConnection::abort() {
   const std::shared_ptr<UpstreamConnection> Self = this->shared_from_this();
   const bool WasSent = this->Busy;
   this->close();
--- a/Source/Gateway/UpstreamConnection.h
+++ b/Source/Gateway/UpstreamConnection.h
@@ -29,6 +29,8 @@
   void send(std::string_view Bytes, bool HasBody);
   /// Does not notify the listener.
   void close();
+  /// Closes the connection like one that has failed and notifies the listener.
+  void abort();
 
   bool isConnected() const;
   bool isClosed() const;
@@ -42,7 +44,6 @@
   void parse(std::string_view Bytes);
   void write(std::string_view Bytes);
   void watch(std::uint32_t Wanted);
-  void fail();
 
   net::EventLoop &Loop;
   UpstreamListener &Listener;
@@ -53,6 +54,8 @@
   /// Whether a request was sent whose response is not complete.
   bool Busy = false;
   bool Answered = false;
+  /// Messages since the last request that did not answer it.
+  unsigned IgnoredCount = 0;
   std::uint32_t Interest = 0;
   std::optional<net::TimerId> ConnectTimer;
 };
--- a/Source/Gateway/UpstreamListener.h
+++ b/Source/Gateway/UpstreamListener.h
@@ -3,6 +3,7 @@
 
 #include "Http/Response.h"
 
+#include <cstddef>
 #include <memory>
 
 namespace acaciacross::gateway {
@@ -21,6 +22,10 @@
   /// carry another request.
   virtual bool onResponse(UpstreamConnection &Connection,
                           http::Response Response, bool MayReuse) = 0;
+  /// A response is incomplete and holds this much memory. The listener may
+  /// abort the connection.
+  virtual void onBuffered(UpstreamConnection &Connection,
+                          std::size_t Bytes) = 0;
   /// The connection has closed. WasSent: at least a part of the current request
   /// may have reached the searcher.
   virtual void onUpstreamClosed(UpstreamConnection &Connection,
--- a/Source/Gateway/UpstreamSender.cpp
+++ b/Source/Gateway/UpstreamSender.cpp
@@ -32,8 +32,11 @@
 
 UpstreamSender::UpstreamSender(net::EventLoop &Loop,
                                forwarding::ServiceRegistry &Registry,
-                               const SearcherProtocol &Protocol)
-    : Loop(Loop), Registry(Registry), Protocol(Protocol) {}
+                               const SearcherProtocol &Protocol,
+                               logging::EventLog &Log,
+                               std::size_t MaxResponseBytes)
+    : Loop(Loop), Registry(Registry), Protocol(Protocol), Log(Log),
+      ResponseBuffers(MaxResponseBytes) {}
 
 UpstreamSender::~UpstreamSender() {
   for (auto &[Number, Attempt] : this->Attempts)
@@ -150,6 +153,10 @@
   return this->OpenedCount;
 }
 
+const ResponseBufferBudget &UpstreamSender::responseBuffers() const {
+  return this->ResponseBuffers;
+}
+
 std::size_t UpstreamSender::connections() const {
   std::size_t Total = 0;
   for (const auto &[Id, Pool] : this->Pools)
@@ -161,7 +168,12 @@
   const auto Found = this->AttemptByConnection.find(&Connection);
   if (Found == this->AttemptByConnection.end())
     return;
-  this->send(this->Attempts.at(Found->second));
+  const auto It = this->Attempts.find(Found->second);
+  const forwarding::ReplicaRecord &Replica = *It->second.Replica;
+  if (Replica.isLeaving() || Replica.isPaused(this->Loop.now()))
+    this->withdraw(It);
+  else
+    this->send(It->second);
 }
 
 bool UpstreamSender::onResponse(UpstreamConnection &Connection,
@@ -173,6 +185,7 @@
   }
   const auto It = this->Attempts.find(Found->second);
   ResponseMetadata Metadata = this->Protocol.decode(Response);
+  this->recordNotice(It->second, Metadata.Notice);
   // A late second response to an earlier request; the response to the current
   // request is still to come.
   if (Metadata.RequestId && *Metadata.RequestId != It->second.Request->Id.Value)
@@ -202,6 +215,26 @@
   return true;
 }
 
+void UpstreamSender::onBuffered(UpstreamConnection &Connection,
+                                std::size_t Bytes) {
+  const auto Found = this->AttemptByConnection.find(&Connection);
+  if (Found == this->AttemptByConnection.end())
+    return;
+  const auto Largest = this->ResponseBuffers.update(Found->second, Bytes);
+  if (!Largest)
+    return;
+  const UpstreamAttempt &Ended = this->Attempts.at(*Largest);
+  this->Log.write(
+      logging::LogRecord(common::LogEvent::ResponseBuffersFull)
+          .text("searcher", Ended.Replica->entry().Id.Value)
+          .text("service", Ended.Replica->entry().Service.Value)
+          .text("request", Ended.Request->Id.Value)
+          .number("held_bytes", static_cast<std::int64_t>(
+                                    this->ResponseBuffers.heldBytes())));
+  const std::shared_ptr<UpstreamConnection> Aborted = Ended.Connection;
+  Aborted->abort();
+}
+
 void UpstreamSender::onUpstreamClosed(UpstreamConnection &Connection,
                                       bool WasSent) {
   for (auto &[Id, Pool] : this->Pools)
@@ -227,6 +260,19 @@
   this->notifyConnectionAvailable(Attempt.Replica->entry().Service);
 }
 
+// The searcher has announced that it leaves, or asked for a pause, while the
+// connection was set up.
+void UpstreamSender::withdraw(AttemptMap::iterator It) {
+  const UpstreamAttempt Attempt = this->removeAttempt(It);
+  this->closeConnection(Attempt);
+  if (Attempt.Listener != nullptr) {
+    forwarding::AttemptResult Result;
+    Result.End = AttemptEnd::NotSent;
+    Attempt.Listener->onAttemptEnded(Attempt.Number, std::move(Result));
+  }
+  this->notifyConnectionAvailable(Attempt.Replica->entry().Service);
+}
+
 // A searcher that restarts under the same id may have another address.
 ConnectionPool &
 UpstreamSender::poolOf(const forwarding::SearcherEntry &Searcher) {
@@ -262,6 +308,7 @@
 UpstreamAttempt UpstreamSender::removeAttempt(AttemptMap::iterator It) {
   UpstreamAttempt Attempt = std::move(It->second);
   this->Attempts.erase(It);
+  this->ResponseBuffers.release(Attempt.Number);
   this->AttemptByConnection.erase(Attempt.Connection.get());
   if (Attempt.LingerTimer)
     this->Loop.cancel(*Attempt.LingerTimer);
@@ -269,6 +316,37 @@
   return Attempt;
 }
 
+void UpstreamSender::recordNotice(const UpstreamAttempt &Attempt,
+                                  const forwarding::SearcherNotice &Notice) {
+  if (!this->Registry.recordNotice(*Attempt.Replica, Notice, this->Loop.now()))
+    return;
+  const forwarding::SearcherEntry &Searcher = Attempt.Replica->entry();
+  const auto Write = [&](common::LogEvent Event, auto AddDetails) {
+    logging::LogRecord Line(Event);
+    Line.text("searcher", Searcher.Id.Value)
+        .text("service", Searcher.Service.Value)
+        .text("request", Attempt.Request->Id.Value);
+    AddDetails(Line);
+    this->Log.write(Line);
+  };
+  if (Notice.IsLeaving)
+    Write(common::LogEvent::SearcherLeaving, [](logging::LogRecord &) {});
+  if (Notice.Pause)
+    Write(common::LogEvent::SearcherPaused, [&](logging::LogRecord &Line) {
+      Line.milliseconds("pause_ms", *Notice.Pause);
+    });
+  if (!Notice.InvalidPause.empty())
+    Write(common::LogEvent::ResponseHeaderInvalid,
+          [&](logging::LogRecord &Line) {
+            Line.text("field", "requested pause")
+                .text("value", Notice.InvalidPause)
+                .text("allowed", "a number of seconds above 0");
+          });
+  const auto Pool = this->Pools.find(Searcher.Id);
+  if (Notice.IsLeaving && Pool != this->Pools.end())
+    Pool->second.closeIdle();
+}
+
 void UpstreamSender::recordResponse(const UpstreamAttempt &Attempt,
                                     const ResponseMetadata &Metadata,
                                     const http::Response &Response) {
--- a/Source/Gateway/UpstreamSender.h
+++ b/Source/Gateway/UpstreamSender.h
@@ -4,9 +4,11 @@
 #include "Forwarding/AttemptSender.h"
 #include "Forwarding/ServiceRegistry.h"
 #include "Gateway/ConnectionPool.h"
+#include "Gateway/ResponseBufferBudget.h"
 #include "Gateway/SearcherProtocol.h"
 #include "Gateway/UpstreamAttempt.h"
 #include "Gateway/UpstreamListener.h"
+#include "Logging/EventLog.h"
 #include "Net/EventLoop.h"
 
 #include <cstdint>
@@ -22,8 +24,10 @@
 class UpstreamSender final : public forwarding::AttemptSender,
                              private UpstreamListener {
 public:
+  /// MaxResponseBytes: memory for all incomplete responses together.
   UpstreamSender(net::EventLoop &Loop, forwarding::ServiceRegistry &Registry,
-                 const SearcherProtocol &Protocol);
+                 const SearcherProtocol &Protocol, logging::EventLog &Log,
+                 std::size_t MaxResponseBytes);
   ~UpstreamSender() override;
   UpstreamSender(const UpstreamSender &) = delete;
   UpstreamSender &operator=(const UpstreamSender &) = delete;
@@ -50,6 +54,7 @@
 
   /// Number of connections opened since the start.
   std::uint64_t openedConnectionCount() const;
+  const ResponseBufferBudget &responseBuffers() const;
   /// Number of connections held now.
   std::size_t connections() const;
 
@@ -60,6 +65,7 @@
   void onConnected(UpstreamConnection &Connection) override;
   bool onResponse(UpstreamConnection &Connection, http::Response Response,
                   bool MayReuse) override;
+  void onBuffered(UpstreamConnection &Connection, std::size_t Bytes) override;
   void onUpstreamClosed(UpstreamConnection &Connection, bool WasSent) override;
 
   /// Whether this VM keeps connections that no attempt uses.
@@ -68,6 +74,12 @@
   void send(const UpstreamAttempt &Attempt);
   /// Removes the attempt and reports its end to the record of its searcher.
   UpstreamAttempt removeAttempt(AttemptMap::iterator It);
+  /// Updates the record of the searcher with what it says of itself.
+  void recordNotice(const UpstreamAttempt &Attempt,
+                    const forwarding::SearcherNotice &Notice);
+  /// Ends an attempt whose searcher must get nothing any more, before it is
+  /// sent.
+  void withdraw(AttemptMap::iterator It);
   /// Updates the record of the searcher and the statistics of the route.
   void recordResponse(const UpstreamAttempt &Attempt,
                       const ResponseMetadata &Metadata,
@@ -82,6 +94,8 @@
   net::EventLoop &Loop;
   forwarding::ServiceRegistry &Registry;
   const SearcherProtocol &Protocol;
+  logging::EventLog &Log;
+  ResponseBufferBudget ResponseBuffers;
   std::map<common::SearcherId, ConnectionPool> Pools;
   AttemptMap Attempts;
   std::unordered_map<const UpstreamConnection *, forwarding::AttemptNumber>
--- a/Source/Http/MessageParser.cpp
+++ b/Source/Http/MessageParser.cpp
@@ -62,6 +62,10 @@
 
 bool MessageParser::isComplete() const { return this->Complete; }
 
+std::size_t MessageParser::heldBytes() {
+  return this->HeadPartBytes + this->body().capacity();
+}
+
 ParseProblem MessageParser::problem() const { return this->Problem; }
 
 void MessageParser::appendTarget(std::string_view) {}
--- a/Source/Http/MessageParser.h
+++ b/Source/Http/MessageParser.h
@@ -27,6 +27,8 @@
   bool hasStarted() const;
   bool isHeadComplete() const;
   bool isComplete() const;
+  /// Memory that the incomplete message holds.
+  std::size_t heldBytes();
   /// Why the message cannot be used; None while it can.
   ParseProblem problem() const;
 
--- a/Source/Node/MetricsSource.cpp
+++ b/Source/Node/MetricsSource.cpp
@@ -30,6 +30,12 @@
        << "# TYPE acaciacross_upstream_connections_opened_total counter\n"
        << "acaciacross_upstream_connections_opened_total "
        << this->Sender.openedConnectionCount() << '\n'
+       << "# TYPE acaciacross_response_buffer_bytes gauge\n"
+       << "acaciacross_response_buffer_bytes "
+       << this->Sender.responseBuffers().heldBytes()
+       << "\n# TYPE acaciacross_response_buffer_peak_bytes gauge\n"
+       << "acaciacross_response_buffer_peak_bytes "
+       << this->Sender.responseBuffers().peakBytes() << '\n'
        << "# TYPE acaciacross_routes_version gauge\n"
        << "acaciacross_routes_version "
        << (this->Registry.table() == nullptr
@@ -44,13 +50,27 @@
        << "acaciacross_placed " << (this->Registry.fleet().IsPlaced ? 1 : 0)
        << '\n'
        << "# TYPE acaciacross_log_lines_dropped_total counter\n"
-       << "acaciacross_log_lines_dropped_total " << this->Log.dropped() << '\n'
+       << "acaciacross_log_lines_dropped_total " << this->Log.dropped() << '\n';
+  Page << "# TYPE acaciacross_events_total counter\n";
+  for (const common::LogEvent Event : common::allLogEvents())
+    if (const std::uint64_t Count = this->Log.count(Event))
+      Page << "acaciacross_events_total{event=\"" << common::logEventName(Event)
+           << "\"} " << Count << '\n';
+  std::set<common::ServiceName> Services;
+  std::size_t LeavingCount = 0;
+  std::size_t PausedCount = 0;
+  for (const auto &[Id, Record] : this->Registry.allSearchers()) {
+    Services.insert(Record->entry().Service);
+    LeavingCount += Record->isLeaving() ? 1 : 0;
+    PausedCount += Record->isPaused(this->Time.monotonicNow()) ? 1 : 0;
+  }
+  Page << "# TYPE acaciacross_searchers_leaving gauge\n"
+       << "acaciacross_searchers_leaving " << LeavingCount
+       << "\n# TYPE acaciacross_searchers_paused gauge\n"
+       << "acaciacross_searchers_paused " << PausedCount << '\n'
        << "# TYPE acaciacross_repeat_budget_left gauge\n"
        << "# TYPE acaciacross_searchers gauge\n"
        << "# TYPE acaciacross_waiting gauge\n";
-  std::set<common::ServiceName> Services;
-  for (const auto &[Id, Record] : this->Registry.allSearchers())
-    Services.insert(Record->entry().Service);
   for (const common::ServiceName &Service : Services) {
     const std::string Label = "{service=\"" + Service.Value + "\"} ";
     Page << "acaciacross_repeat_budget_left" << Label
--- a/Source/Node/NodeSettings.h
+++ b/Source/Node/NodeSettings.h
@@ -6,6 +6,7 @@
 #include "Forwarding/RetryBudgetSettings.h"
 
 #include <chrono>
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,8 @@
   /// Address of the store that publishes routes and searchers.
   common::Address StoreAddress;
   forwarding::RetryBudgetSettings RetryBudget;
+  /// Memory of this VM.
+  std::size_t MemoryBytes = std::size_t{128} << 20;
   /// Maximum time until a change in the store is in effect on this VM.
   std::chrono::milliseconds MaxChangeDelay{3'000};
   /// Time from the stop signal until the process is killed.
--- a/Source/Node/TrafficThread.cpp
+++ b/Source/Node/TrafficThread.cpp
@@ -4,6 +4,13 @@
 
 namespace acaciacross::node {
 
+namespace {
+
+// Share of the memory for incomplete responses of searchers: 1 in this many.
+constexpr std::size_t ResponseMemoryDivisor = 4;
+
+} // namespace
+
 TrafficThread::TrafficThread(const NodeSettings &Settings,
                              const NodeEncodings &Encodings,
                              const common::Clock &TimeSource,
@@ -11,7 +18,8 @@
     : Time(TimeSource), Loop(TimeSource),
       Random(common::SeededRandom::fromSystem()),
       Registry(Settings.RetryBudget),
-      Sender(this->Loop, this->Registry, Encodings.searchers()),
+      Sender(this->Loop, this->Registry, Encodings.searchers(), Log,
+             Settings.MemoryBytes / ResponseMemoryDivisor),
       Selector(this->Random), Load(this->Sender),
       Admission({&this->Reachability, &this->Load}),
       Dependencies{TimeSource,     this->Registry, this->Sender,
--- a/Source/UnitTests/Gateway/ConnectionPoolTest.cpp
+++ b/Source/UnitTests/Gateway/ConnectionPoolTest.cpp
@@ -16,6 +16,7 @@
   bool onResponse(UpstreamConnection &, http::Response, bool) override {
     return true;
   }
+  void onBuffered(UpstreamConnection &, std::size_t) override {}
   void onUpstreamClosed(UpstreamConnection &, bool) override {}
 
   std::shared_ptr<UpstreamConnection> connection() {
--- a/Source/UnitTests/platform/CodecTest.cpp
+++ b/Source/UnitTests/platform/CodecTest.cpp
@@ -70,6 +70,65 @@
           .Load);
 }
 
+// A searcher that leaves says so in all its answers; one that took over the
+// address speaks for itself only.
+TEST_F(CodecTest, ResponseTellsThatItsSearcherLeaves) {
+  const auto IsLeaving = [&](int Status, const std::string &Value) {
+    return this->Searchers
+        .decode(makeResponse(Status, {{"Server-Leaving", Value}}))
+        .Notice.IsLeaving;
+  };
+  EXPECT_TRUE(IsLeaving(200, "1"));
+  EXPECT_TRUE(IsLeaving(503, "1"));
+  EXPECT_FALSE(IsLeaving(200, "0"));
+  EXPECT_FALSE(IsLeaving(421, "1"));
+  EXPECT_FALSE(this->Searchers.decode(makeResponse(200, {})).Notice.IsLeaving);
+}
+
+TEST_F(CodecTest, RetryAfterOfARejectionIsAPause) {
+  const auto PauseOf = [&](int Status, const std::string &Value) {
+    return this->Searchers
+        .decode(makeResponse(Status, {{"Retry-After", Value}}))
+        .Notice.Pause;
+  };
+  EXPECT_EQ(PauseOf(503, "2"), std::chrono::milliseconds(2'000));
+  EXPECT_EQ(PauseOf(503, " 0.25"), std::chrono::milliseconds(250));
+  EXPECT_EQ(PauseOf(503, "0.0001"), std::chrono::milliseconds(1));
+  EXPECT_FALSE(PauseOf(200, "2"));
+  EXPECT_FALSE(PauseOf(421, "2"));
+}
+
+// No value may keep a searcher unused for good.
+TEST_F(CodecTest, InvalidRetryAfterIsNoPause) {
+  for (const char *Text : {"", "0", "-1", "nan", "inf", "-inf", "1e999", "2x",
+                           "Fri, 31 Dec 2027 23:59:59 GMT", "1 2", "0x10"}) {
+    const auto Notice =
+        this->Searchers.decode(makeResponse(503, {{"Retry-After", Text}}))
+            .Notice;
+    EXPECT_FALSE(Notice.Pause) << Text;
+    EXPECT_FALSE(Notice.InvalidPause.empty()) << Text;
+  }
+  for (const char *Text : {"99999999", "1e300"})
+    EXPECT_EQ(this->Searchers.decode(makeResponse(503, {{"Retry-After", Text}}))
+                  .Notice.Pause,
+              std::chrono::hours(1))
+        << Text;
+}
+
+// A number that is cut to fewer bits or followed by other characters must not
+// count as a small load.
+TEST_F(CodecTest, LoadOutOfRangeIsIgnored) {
+  for (const char *Text :
+       {"4294967296,0,4", "1,-1,4", "1,0,4x", "1,0,99999999999999999999"})
+    EXPECT_FALSE(
+        this->Searchers.decode(makeResponse(200, {{"X-Server-Load", Text}}))
+            .Load)
+        << Text;
+  EXPECT_TRUE(this->Searchers
+                  .decode(makeResponse(200, {{"X-Server-Load", "1,0,4,100"}}))
+                  .Load);
+}
+
 // A malformed number must not become a deadline that has passed or overflows.
 TEST_F(CodecTest, InvalidCallerDeadlineIsIgnored) {
   for (const char *Text : {"", "-5", "abc", "5x", "99999999999999999999"}) {
