Membership, Fleet: placed VMs pass on what they know of each other

Cause: each standby VM probed three placed VMs and one other five times a second, for ever: 195 VMs sent 3,900 probes a second, five in six of them across failure domains, and each placed VM answered a part that grew with the fleet. FleetAgent published its view, with all peers copied and ranked, at each event: a start of 195 VMs has 37,800 of them.

Change: ProbePlan says whom a VM probes. Placed VMs probe each other, each in every second round. Standby VMs probe the placed VMs of their own failure domain, which send the evidence that they have of the others ahead of the acknowledgement (EvidenceMessage, EvidenceRelay), and one random peer a second; a placed VM without fresh evidence is still probed directly. Evidence is dated back from the sending time of the receiver's own probe, so it never becomes younger on its way and the reasoning of the planned stop holds. Nodes of the version before drop the new message and are probed directly. The view is published with each round of probes only.

Weighed besides: longer probe periods in a large fleet (address answers would name placed VMs on evidence older than a second), deltas of members (they say nothing of who is alive), all states in one datagram from any peer (each would have to know all).

--- a/Source/Fleet/FleetAgent.cpp
+++ b/Source/Fleet/FleetAgent.cpp
@@ -104,6 +104,7 @@
   if (this->isOwn(Message.Content.Sender))
     return;
   this->NextHeartbeat.Sender = this->ownStatus();
+  this->relayEvidence(From, Message.Sequence, Message.Content.Sender.Vm);
   this->Socket.sendAck(From, Message.Sequence, this->NextHeartbeat);
   this->Hints.add(From, this->Time.monotonicNow());
   this->applyContent(From, Message.Content);
@@ -127,6 +128,43 @@
   this->applyContent(From, Message.Content);
 }
 
+// Evidence is dated back from the sending time of this VM's own probe, so it is
+// never taken for younger than it is.
+void FleetAgent::onEvidence(const common::Address &From,
+                            const peering::EvidenceMessage &Message) {
+  const common::MonotonicTime Now = this->Time.monotonicNow();
+  if (const auto PauseLength =
+          this->Pauses.checkBeforeMessage(Now, this->Time.wallNow())) {
+    this->handlePause(*PauseLength);
+    return;
+  }
+  const auto SentAt = this->Probes.pendingSince(Message.Sequence, From);
+  if (!SentAt)
+    return;
+  for (const membership::PeerEvidence &Evidence : Message.Peers)
+    if (Evidence.Vm != this->Settings.Vm)
+      this->handleEvents(
+          this->Fleet.applyEvidence(Evidence, *SentAt - Evidence.Age),
+          "evidence of another VM");
+}
+
+void FleetAgent::relayEvidence(const common::Address &To,
+                               std::uint64_t Sequence,
+                               const common::VmId &Sender) {
+  const membership::PeerRecord *Peer = this->Fleet.find(Sender);
+  const bool IsLocalStandby =
+      Peer != nullptr && !this->Placed.contains(Sender) &&
+      Peer->Status.FailureDomain == this->Settings.FailureDomain;
+  if (!IsLocalStandby || !this->Placed.contains(this->Settings.Vm))
+    return;
+  peering::EvidenceMessage Message;
+  Message.Sequence = Sequence;
+  Message.Peers =
+      this->Relay.collect(this->Fleet, this->Placed, this->Time.monotonicNow());
+  if (!Message.Peers.empty())
+    this->Socket.sendEvidence(To, Message);
+}
+
 void FleetAgent::handlePause(std::chrono::milliseconds PauseLength) {
   this->Probes.discardPending();
   this->Socket.discardQueuedDatagrams();
@@ -167,6 +205,8 @@
       "message of " + Content.Sender.Vm.Value);
 }
 
+// The view is published with the next round of probes. Publishing costs work
+// for each VM of the fleet, and a fleet that starts has an event for each VM.
 void FleetAgent::handleEvents(const std::vector<membership::FleetEvent> &Events,
                               const std::string &Cause) {
   for (const membership::FleetEvent &Event : Events) {
@@ -175,8 +215,6 @@
                         .text("cause", Cause));
     this->UpdateExchange.enqueue(Event);
   }
-  if (!Events.empty())
-    this->publish();
 }
 
 void FleetAgent::updatePlacement(FleetView &View, common::MonotonicTime Now) {
@@ -193,11 +231,10 @@
     AddMember(Peer->Status);
   View.ServingCount = static_cast<unsigned>(Candidates.size());
   View.PlacedVms = this->Placement.choose(Candidates, Now);
-  std::vector<common::Address> Preferred;
-  for (const common::VmId &Vm : View.PlacedVms)
-    if (const membership::PeerRecord *Peer = this->Fleet.find(Vm))
-      Preferred.push_back(Peer->PeerAddress);
-  this->Probes.setPreferred(std::move(Preferred));
+  this->Placed = View.PlacedVms;
+  this->Probes.setPlan(
+      membership::ProbePlan::make(this->Fleet, this->Placed, this->Settings.Vm,
+                                  this->Settings.FailureDomain, Now));
   // The set changes with each new peer until all known addresses have been
   // probed.
   if (View.PlacedVms == this->LastLoggedPlacement || this->Hints.hasUntried())
--- a/Source/Fleet/FleetAgent.h
+++ b/Source/Fleet/FleetAgent.h
@@ -8,6 +8,7 @@
 #include "Fleet/FleetViewListener.h"
 #include "Fleet/LocalStatusSource.h"
 #include "Logging/EventLog.h"
+#include "Membership/EvidenceRelay.h"
 #include "Membership/MemberUpdateExchange.h"
 #include "Membership/PauseDetector.h"
 #include "Membership/Prober.h"
@@ -51,10 +52,16 @@
                const peering::ProbeMessage &Message) override;
   void onAck(const common::Address &From,
              const peering::ProbeAckMessage &Message) override;
+  void onEvidence(const common::Address &From,
+                  const peering::EvidenceMessage &Message) override;
 
   /// Sends a round of probes now and then one per interval.
   void schedule(std::chrono::milliseconds Interval);
   void handlePause(std::chrono::milliseconds PauseLength);
+  /// Passes on evidence of the placed VMs to a standby VM of the own failure
+  /// domain that sent a probe.
+  void relayEvidence(const common::Address &To, std::uint64_t Sequence,
+                     const common::VmId &Sender);
   bool isOwn(const membership::MemberStatus &Sender) const;
   membership::MemberStatus ownStatus() const;
   void prepareHeartbeat();
@@ -72,6 +79,8 @@
   FleetViewListener &Listener;
   const LocalStatusSource &StatusSource;
   routing::PlacementPolicy &Placement;
+  std::set<common::VmId> Placed;
+  membership::EvidenceRelay Relay;
   /// The set of placed VMs that was logged last.
   std::set<common::VmId> LastLoggedPlacement;
   membership::ServingState State = membership::ServingState::Joining;
--- a/Source/Membership/FleetLimits.h
+++ b/Source/Membership/FleetLimits.h
@@ -43,12 +43,6 @@
 constexpr std::size_t SmallFleetProbesPerRound = 8;
 constexpr std::size_t LargeFleetProbesPerRound = 3;
 
-/// Probes per round to preferred and to other peers of a large fleet that has
-/// preferred peers. Eight preferred peers are each probed every 0.6 s, which is
-/// within MaxEvidenceAge.
-constexpr std::size_t PreferredProbesPerRound = 3;
-constexpr std::size_t SampledProbesPerRound = 1;
-
 /// Maximum number of peers in the table: a fleet of 6,600 VMs, as expected in
 /// two years, and room for replacements.
 constexpr std::size_t MaxPeers = 8192;
--- a/Source/Membership/FleetTable.cpp
+++ b/Source/Membership/FleetTable.cpp
@@ -137,6 +137,29 @@
   return {eventOf(FleetEventKind::Leaving, Status)};
 }
 
+std::vector<FleetEvent> FleetTable::applyEvidence(const PeerEvidence &Evidence,
+                                                  common::MonotonicTime At) {
+  const auto It = this->Records.find(Evidence.Vm);
+  if (It == this->Records.end())
+    return {};
+  PeerRecord &Record = It->second;
+  const bool IsUsable = Record.Status.Incarnation == Evidence.Incarnation &&
+                        Record.Status.State != ServingState::Leaving &&
+                        At > Record.EvidenceAt && At >= Record.LossTimerStart;
+  if (!IsUsable)
+    return {};
+  Record.Status.State = ServingState::Serving;
+  Record.Status.BusyPerMille = Evidence.BusyPerMille;
+  Record.EvidenceAt = At;
+  Record.LossTimerStart = At;
+  Record.IsConfirmed = true;
+  Record.UnansweredSince.reset();
+  Record.UnansweredCount = 0;
+  if (!std::exchange(Record.IsLost, false))
+    return {};
+  return {eventOf(FleetEventKind::Joined, Record.Status)};
+}
+
 void FleetTable::markProbed(const common::Address &To,
                             common::MonotonicTime Now) {
   const auto It = this->VmByAddress.find(To);
--- a/Source/Membership/FleetTable.h
+++ b/Source/Membership/FleetTable.h
@@ -5,6 +5,7 @@
 #include "Membership/FleetEvent.h"
 #include "Membership/FleetLimits.h"
 #include "Membership/MemberUpdate.h"
+#include "Membership/PeerEvidence.h"
 #include "Membership/PeerRecord.h"
 
 #include <cstddef>
@@ -29,6 +30,12 @@
   /// a message may be of any age, so only the state "leaving" is applied.
   std::vector<FleetEvent> applyUpdate(const MemberUpdate &Update);
 
+  /// Applies evidence that another VM has passed on, dated back to At by the
+  /// sending time of this VM's own probe. Ignored for an unknown VM, for
+  /// another run of it and for one that leaves.
+  std::vector<FleetEvent> applyEvidence(const PeerEvidence &Evidence,
+                                        common::MonotonicTime At);
+
   /// Records that a probe was sent to the given address.
   void markProbed(const common::Address &To, common::MonotonicTime Now);
 
--- a/Source/Membership/Prober.cpp
+++ b/Source/Membership/Prober.cpp
@@ -41,10 +41,16 @@
   return SentAt;
 }
 
-void Prober::setPreferred(std::vector<common::Address> Peers) {
-  this->Preferred = std::move(Peers);
+std::optional<common::MonotonicTime>
+Prober::pendingSince(std::uint64_t Sequence, const common::Address &To) const {
+  const auto It = this->Pending.find(Sequence);
+  if (It == this->Pending.end() || It->second.To != To)
+    return std::nullopt;
+  return It->second.SentAt;
 }
 
+void Prober::setPlan(ProbePlan NewPlan) { this->Plan = std::move(NewPlan); }
+
 void Prober::discardPending() { this->Pending.clear(); }
 
 std::vector<common::Address> Prober::chooseTargets(const FleetTable &Fleet,
@@ -97,9 +103,14 @@
   addUntried(Targets, Fleet, Hints);
   if (Targets.empty())
     this->addPreferred(Targets);
+  const bool HasPlan = !this->Plan.Preferred.empty();
+  const bool IsSampling =
+      !HasPlan || ++this->RoundsSinceSample >= this->Plan.RoundsPerSample;
+  if (IsSampling)
+    this->RoundsSinceSample = 0;
   const std::size_t MaxTargets =
-      this->Preferred.empty() ? LargeFleetProbesPerRound
-                              : PreferredProbesPerRound + SampledProbesPerRound;
+      HasPlan ? this->Plan.PreferredPerRound + (IsSampling ? 1 : 0)
+              : LargeFleetProbesPerRound;
   if (!Suspects.empty() && Targets.size() < MaxTargets)
     Targets.insert(*Suspects[this->Random.below(Suspects.size())]);
   // Only in half of the rounds: if a round has one probe left, addresses that
@@ -127,10 +138,10 @@
 
 void Prober::addPreferred(std::set<common::Address> &Targets) {
   const std::size_t Count =
-      std::min(PreferredProbesPerRound, this->Preferred.size());
+      std::min(this->Plan.PreferredPerRound, this->Plan.Preferred.size());
   for (std::size_t I = 0; I < Count; ++I)
-    Targets.insert(
-        this->Preferred[this->NextPreferred++ % this->Preferred.size()]);
+    Targets.insert(this->Plan.Preferred[this->NextPreferred++ %
+                                        this->Plan.Preferred.size()]);
 }
 
 std::optional<common::Address>
--- a/Source/Membership/Prober.h
+++ b/Source/Membership/Prober.h
@@ -6,6 +6,7 @@
 #include "Membership/FleetTable.h"
 #include "Membership/PeerChannel.h"
 #include "Membership/PendingProbe.h"
+#include "Membership/ProbePlan.h"
 
 #include <cstdint>
 #include <map>
@@ -20,9 +21,9 @@
 public:
   Prober(PeerChannel &Channel, common::RandomSource &Random);
 
-  /// Sets the peers of a large fleet that are probed round robin, which keeps
-  /// their evidence fresh. Other peers are sampled at random.
-  void setPreferred(std::vector<common::Address> Peers);
+  /// Sets which peers of a large fleet are probed regularly. Others are sampled
+  /// at random.
+  void setPlan(ProbePlan NewPlan);
   /// Sends one round of probes to peers and hinted addresses.
   void tick(common::MonotonicTime Now, FleetTable &Fleet, AddressHints &Hints,
             const Heartbeat &Content);
@@ -34,6 +35,10 @@
                                                 const common::Address &From,
                                                 common::MonotonicTime Now);
 
+  /// When the pending probe was sent; empty if there is none. Does not end it.
+  std::optional<common::MonotonicTime>
+  pendingSince(std::uint64_t Sequence, const common::Address &To) const;
+
   /// Drops all pending probes, so that acknowledgements that were in the socket
   /// buffer during a pause do not match.
   void discardPending();
@@ -58,8 +63,9 @@
   common::RandomSource &Random;
   std::uint64_t NextSequence;
   common::Address LastRoundRobinTarget;
-  std::vector<common::Address> Preferred;
+  ProbePlan Plan;
   std::size_t NextPreferred = 0;
+  std::size_t RoundsSinceSample = 0;
   std::map<std::uint64_t, PendingProbe> Pending;
 };
 
--- a/Source/Peering/DatagramCodec.cpp
+++ b/Source/Peering/DatagramCodec.cpp
@@ -16,6 +16,7 @@
 using membership::Heartbeat;
 using membership::MemberStatus;
 using membership::MemberUpdate;
+using membership::PeerEvidence;
 using membership::ServingState;
 
 std::size_t encodedSize(const MemberUpdate &Update) {
@@ -26,6 +27,10 @@
   return 1 + Notice.Searcher.Value.size() + 4;
 }
 
+std::size_t encodedSize(const PeerEvidence &Peer) {
+  return 1 + Peer.Vm.Value.size() + 8 + 2 + 2;
+}
+
 /// Number of leading entries that fit; subtracts their bytes from
 /// RemainingBytes.
 template <typename Entry>
@@ -96,6 +101,39 @@
   return Out.bytes();
 }
 
+std::string encode(const EvidenceMessage &Message) {
+  WireWriter Out(MessageKind::PeerEvidence);
+  Out.number(Message.Sequence);
+  std::size_t RemainingBytes = MaxDatagramBytes - 1 - Out.size();
+  const std::size_t Count =
+      countFitting(Message.Peers, membership::MaxRelayedPeers, RemainingBytes);
+  Out.number(static_cast<std::uint8_t>(Count));
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    const PeerEvidence &Peer = Message.Peers[Index];
+    Out.name(Peer.Vm.Value, MaxNameBytes);
+    Out.number(Peer.Incarnation.Value);
+    Out.number(clampToUint16(static_cast<unsigned>(Peer.Age.count())));
+    Out.number(clampToUint16(Peer.BusyPerMille));
+  }
+  return Out.bytes();
+}
+
+EvidenceMessage readEvidence(WireReader &In, std::uint64_t Sequence) {
+  EvidenceMessage Message;
+  Message.Sequence = Sequence;
+  const std::size_t Count = In.smallCount(membership::MaxRelayedPeers);
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    PeerEvidence Peer;
+    Peer.Vm = common::VmId(In.name(MaxNameBytes));
+    Peer.Incarnation = common::Incarnation(In.number<std::uint64_t>());
+    Peer.Age = std::chrono::milliseconds(In.number<std::uint16_t>());
+    Peer.BusyPerMille = In.number<std::uint16_t>();
+    Message.Peers.push_back(std::move(Peer));
+  }
+  In.finish();
+  return Message;
+}
+
 ServingState readState(WireReader &In) {
   const auto Number = In.number<std::uint8_t>();
   if (Number > static_cast<std::uint8_t>(ServingState::Leaving))
@@ -159,6 +197,8 @@
 std::string encodeDatagram(const PeerDatagram &Message) {
   if (const auto *Probe = std::get_if<ProbeMessage>(&Message))
     return encode(MessageKind::Probe, Probe->Sequence, Probe->Content);
+  if (const auto *Evidence = std::get_if<EvidenceMessage>(&Message))
+    return encode(*Evidence);
   const auto &Ack = std::get<ProbeAckMessage>(Message);
   return encode(MessageKind::ProbeAck, Ack.Sequence, Ack.Content);
 }
@@ -172,6 +212,8 @@
     return ProbeMessage{Sequence, readHeartbeat(In)};
   if (In.kind() == MessageKind::ProbeAck)
     return ProbeAckMessage{Sequence, readHeartbeat(In)};
+  if (In.kind() == MessageKind::PeerEvidence)
+    return readEvidence(In, Sequence);
   throw PeerMessageError("a kind that is not sent in datagrams");
 } catch (const cereal::Exception &Error) {
   throw PeerMessageError(Error.what());
--- a/Source/Peering/DatagramListener.h
+++ b/Source/Peering/DatagramListener.h
@@ -2,6 +2,7 @@
 #define ACACIACROSS_PEERING_DATAGRAMLISTENER_H
 
 #include "Common/Address.h"
+#include "Peering/EvidenceMessage.h"
 #include "Peering/ProbeAckMessage.h"
 #include "Peering/ProbeMessage.h"
 
@@ -16,6 +17,12 @@
                        const ProbeMessage &Message) = 0;
   virtual void onAck(const common::Address &From,
                      const ProbeAckMessage &Message) = 0;
+  /// Not used by fleets without standby VMs.
+  virtual void onEvidence(const common::Address &From,
+                          const EvidenceMessage &Message) {
+    static_cast<void>(From);
+    static_cast<void>(Message);
+  }
 };
 
 } // namespace acaciacross::peering
--- a/Source/Peering/MessageKind.h
+++ b/Source/Peering/MessageKind.h
@@ -11,6 +11,7 @@
   ProbeAck = 2,
   ConfigurationPull = 3,
   ConfigurationChanges = 4,
+  PeerEvidence = 5,
 };
 
 } // namespace acaciacross::peering
--- a/Source/Peering/PeerDatagram.h
+++ b/Source/Peering/PeerDatagram.h
@@ -1,6 +1,7 @@
 #ifndef ACACIACROSS_PEERING_PEERDATAGRAM_H
 #define ACACIACROSS_PEERING_PEERDATAGRAM_H
 
+#include "Peering/EvidenceMessage.h"
 #include "Peering/ProbeAckMessage.h"
 #include "Peering/ProbeMessage.h"
 
@@ -9,7 +10,8 @@
 namespace acaciacross::peering {
 
 /// Message in a UDP datagram between entry VMs.
-using PeerDatagram = std::variant<ProbeMessage, ProbeAckMessage>;
+using PeerDatagram =
+    std::variant<ProbeMessage, ProbeAckMessage, EvidenceMessage>;
 
 } // namespace acaciacross::peering
 
--- a/Source/Peering/ProbeSocket.cpp
+++ b/Source/Peering/ProbeSocket.cpp
@@ -53,6 +53,11 @@
   this->send(To, ProbeAckMessage{Sequence, Content});
 }
 
+void ProbeSocket::sendEvidence(const common::Address &To,
+                               const EvidenceMessage &Message) {
+  this->send(To, Message);
+}
+
 // The number is limited, because peers continue to send in the meantime.
 void ProbeSocket::discardQueuedDatagrams() {
   char Byte = 0;
@@ -112,8 +117,10 @@
   }
   if (const auto *Probe = std::get_if<ProbeMessage>(&Message))
     this->Listener.onProbe(From, *Probe);
+  else if (const auto *Ack = std::get_if<ProbeAckMessage>(&Message))
+    this->Listener.onAck(From, *Ack);
   else
-    this->Listener.onAck(From, std::get<ProbeAckMessage>(Message));
+    this->Listener.onEvidence(From, std::get<EvidenceMessage>(Message));
 }
 
 } // namespace acaciacross::peering
--- a/Source/Peering/ProbeSocket.h
+++ b/Source/Peering/ProbeSocket.h
@@ -32,6 +32,8 @@
   void sendAck(const common::Address &To, std::uint64_t Sequence,
                const membership::Heartbeat &Content) override;
 
+  void sendEvidence(const common::Address &To, const EvidenceMessage &Message);
+
   /// Discards the datagrams that are queued in the socket buffer.
   void discardQueuedDatagrams();
 
--- a/Source/Peering/WireReader.cpp
+++ b/Source/Peering/WireReader.cpp
@@ -16,7 +16,7 @@
                            " instead of " + std::to_string(MessageVersion));
   const auto Number = this->number<std::uint8_t>();
   if (Number < static_cast<std::uint8_t>(MessageKind::Probe) ||
-      Number > static_cast<std::uint8_t>(MessageKind::ConfigurationChanges))
+      Number > static_cast<std::uint8_t>(MessageKind::PeerEvidence))
     throw PeerMessageError("unknown kind " + std::to_string(Number));
   this->Kind = static_cast<MessageKind>(Number);
 }
--- a/Source/UnitTests/Membership/ProberTest.cpp
+++ b/Source/UnitTests/Membership/ProberTest.cpp
@@ -72,7 +72,7 @@
     Preferred.push_back(Address);
     Names.insert(Status.Vm.Value);
   }
-  this->Observer.Probes.setPreferred(Preferred);
+  this->Observer.Probes.setPlan({Preferred, 3, 1});
   this->Observer.runFor(std::chrono::seconds(2));
   for (int Round = 0; Round < 20; ++Round) {
     this->Observer.runFor(milliseconds(200));
--- a/Source/UnitTests/Peering/DatagramCodecTest.cpp
+++ b/Source/UnitTests/Peering/DatagramCodecTest.cpp
@@ -40,6 +40,21 @@
   EXPECT_EQ(std::get<ProbeMessage>(Read), Sent);
 }
 
+TEST_F(DatagramCodecTest, EvidenceRoundTripKeepsAllFields) {
+  EvidenceMessage Sent;
+  Sent.Sequence = 7;
+  for (std::size_t I = 0; I < membership::MaxRelayedPeers; ++I)
+    Sent.Peers.push_back({common::VmId("front-ho-thac-ba-" + std::to_string(I)),
+                          common::Incarnation(~std::uint64_t{0} - I),
+                          std::chrono::milliseconds(40 * I),
+                          static_cast<unsigned>(I)});
+  const std::string Bytes = encodeDatagram(Sent);
+  EXPECT_EQ(std::get<EvidenceMessage>(decodeDatagram(Bytes)), Sent);
+  for (std::size_t Length = 0; Length < Bytes.size(); ++Length)
+    EXPECT_TRUE(isRefused(Bytes.substr(0, Length))) << Length;
+  EXPECT_TRUE(isRefused(Bytes + 'x'));
+}
+
 // With names of maximum length all entries would need 2 KB; the datagram must
 // stay below the path MTU.
 TEST_F(DatagramCodecTest, EntriesThatDoNotFitAreLeftOut) {
