Discovery: the VMs of a large fleet call the store one after another

A VM that starts also took itself for elected as long as it knew only a part of the fleet.

Change: FallbackRank orders the VMs by a hash that all agree on; the first one begins at 0.7 of the bound as before, the last one 0.15 of it later, and the first call is answered at once, so that its answer keeps the others from calling. VMs that are no elected readers share eight calls a second in an outage (in a fleet of up to eight each still calls once a second). A VM that calls so seldom hears of the end of an outage from its peers, before the removals of entries that have lapsed. A VM is elected only once it has probed all addresses it knows.

--- a/Source/Discovery/PublishedState.cpp
+++ b/Source/Discovery/PublishedState.cpp
@@ -73,7 +73,16 @@
                               static_cast<std::int64_t>(this->Entries.size())));
 }
 
+void PublishedState::onPeerAnswered(common::MonotonicTime At) {
+  if (this->UnavailableSince && At > *this->UnavailableSince)
+    this->onAvailable();
+}
+
+// A peer may have told of it before this VM's own call was answered. The time
+// for searchers to register again is counted once.
 void PublishedState::onAvailable() {
+  if (!this->UnavailableSince)
+    return;
   const common::MonotonicTime Now = this->Time.monotonicNow();
   this->RetainRemovedUntil = Now + ReregistrationTime;
   this->Log.write(
--- a/Source/Discovery/PublishedState.h
+++ b/Source/Discovery/PublishedState.h
@@ -37,6 +37,9 @@
   void onAvailable() override;
   void onHistoryLost() override;
 
+  /// A peer has heard of an answer of the store that was given at the time.
+  void onPeerAnswered(common::MonotonicTime At);
+
   /// Removes retained entries whose retention time is over.
   void expire();
 
--- a/Source/Discovery/StoreFollower.cpp
+++ b/Source/Discovery/StoreFollower.cpp
@@ -17,7 +17,7 @@
 // delay adds to the age of the known state, which may be some seconds.
 constexpr std::chrono::milliseconds BatchDelay{350};
 constexpr std::chrono::milliseconds FirstBackOff{100};
-constexpr std::chrono::milliseconds MaxBackOff{1'000};
+constexpr std::chrono::milliseconds ResumeTimeout{20};
 // A waiting call may be interrupted while the store is available, so one
 // failure does not count as an outage.
 constexpr unsigned FailuresUntilUnavailable = 2;
@@ -29,13 +29,20 @@
     : Listener(Listener), Time(Time), Random(Random) {}
 
 std::chrono::milliseconds StoreFollower::poll(StoreReader &Store,
-                                              std::uint64_t PeerRevision) {
+                                              const StoreReadMode &Mode) {
+  this->MaxBackOff = Mode.MaxBackOff;
   if (this->KnownRevision)
-    this->KnownRevision = std::max(*this->KnownRevision, PeerRevision);
+    this->KnownRevision = std::max(*this->KnownRevision, Mode.KnownRevision);
   this->CalledAt = this->Time.monotonicNow();
   return this->KnownRevision ? this->watch(Store) : this->readAll(Store);
 }
 
+void StoreFollower::suspend() {
+  this->IsResuming = true;
+  this->Failures = 0;
+  this->IsUnavailable = false;
+}
+
 // The pages are not a consistent snapshot, so the watch starts at the lowest
 // revision of any page; a change that another page already includes is applied
 // twice. The first read after the start may be stale: it costs a tenth of a
@@ -66,7 +73,10 @@
 }
 
 std::chrono::milliseconds StoreFollower::watch(StoreReader &Store) {
-  StoreChanges Answer = Store.awaitChanges(*this->KnownRevision, WatchTimeout);
+  // The other VMs wait for news of an answer, so the first one comes at once.
+  const std::chrono::milliseconds Wait =
+      std::exchange(this->IsResuming, false) ? ResumeTimeout : WatchTimeout;
+  StoreChanges Answer = Store.awaitChanges(*this->KnownRevision, Wait);
   if (Answer.Status == StoreStatus::Unavailable)
     return this->onFailure(Answer.Problem);
   this->onSuccess(ReadConsistency::Current);
@@ -87,12 +97,20 @@
   this->Listener.onCallFailed(
       Problem, std::chrono::duration_cast<std::chrono::milliseconds>(
                    this->Time.monotonicNow() - this->CalledAt));
-  if (this->Failures >= FailuresUntilUnavailable && !this->IsUnavailable) {
+  // A VM of a large fleet that shares a rate of calls with the others begins to
+  // call when none of them has had an answer for some time. It waits long as
+  // soon as its own call fails, too.
+  const bool SharesRate = this->MaxBackOff > StoreReadMode::UsualMaxBackOff;
+  const unsigned FailuresNeeded = SharesRate ? 1 : FailuresUntilUnavailable;
+  if (this->Failures >= FailuresNeeded && !this->IsUnavailable) {
     this->IsUnavailable = true;
     this->Listener.onUnavailable(Problem);
   }
-  const auto MaxDelay = std::min(
-      MaxBackOff, FirstBackOff * (1 << std::min(this->Failures - 1, 4U)));
+  const auto MaxDelay =
+      SharesRate && this->IsUnavailable
+          ? this->MaxBackOff
+          : std::min(StoreReadMode::UsualMaxBackOff,
+                     FirstBackOff * (1 << std::min(this->Failures - 1, 4U)));
   // Jitter keeps the VMs of a fleet from calling at the same time.
   const auto HalfMs = static_cast<std::uint64_t>(MaxDelay.count()) / 2;
   return std::chrono::milliseconds(HalfMs + this->Random.below(HalfMs + 1));
--- a/Source/Discovery/StoreFollower.h
+++ b/Source/Discovery/StoreFollower.h
@@ -4,6 +4,7 @@
 #include "Common/Clock.h"
 #include "Common/RandomSource.h"
 #include "Discovery/StoreListener.h"
+#include "Discovery/StoreReadMode.h"
 #include "Discovery/StoreReader.h"
 
 #include <chrono>
@@ -21,9 +22,11 @@
                 common::RandomSource &Random);
 
   /// Makes the next call and returns the time to wait before the one after it.
-  /// PeerRevision: the revision up to which changes are known from peers.
-  std::chrono::milliseconds poll(StoreReader &Store,
-                                 std::uint64_t PeerRevision);
+  /// Mode: what this VM knows from peers, and how long it may wait.
+  std::chrono::milliseconds poll(StoreReader &Store, const StoreReadMode &Mode);
+  /// Reading has ended. The next poll begins anew with a call that is answered
+  /// at once.
+  void suspend();
 
 private:
   std::chrono::milliseconds readAll(StoreReader &Store);
@@ -40,6 +43,9 @@
   /// Whether all items were read before.
   bool HasReadAll = false;
   common::MonotonicTime CalledAt;
+  std::chrono::milliseconds MaxBackOff{0};
+  /// Whether the next watch is the first one since reading was suspended.
+  bool IsResuming = false;
   unsigned Failures = 0;
   bool IsUnavailable = false;
 };
--- /dev/null
+++ b/Source/Discovery/StoreReadMode.h
@@ -0,0 +1,23 @@
+#ifndef ACACIACROSS_DISCOVERY_STOREREADMODE_H
+#define ACACIACROSS_DISCOVERY_STOREREADMODE_H
+
+#include <chrono>
+#include <cstdint>
+
+namespace acaciacross::discovery {
+
+/// How this VM reads the store.
+struct StoreReadMode {
+  bool IsReading = true;
+  /// The revision up to which all changes are known from peers.
+  std::uint64_t KnownRevision = 0;
+  /// Longest time between two calls while the store does not answer; longer
+  /// than UsualMaxBackOff when the VMs of a large fleet share a rate of calls.
+  std::chrono::milliseconds MaxBackOff = UsualMaxBackOff;
+
+  static constexpr std::chrono::milliseconds UsualMaxBackOff{1'000};
+};
+
+} // namespace acaciacross::discovery
+
+#endif
--- a/Source/Discovery/StoreReadPolicy.h
+++ b/Source/Discovery/StoreReadPolicy.h
@@ -2,6 +2,7 @@
 #define ACACIACROSS_DISCOVERY_STOREREADPOLICY_H
 
 #include "Common/Time.h"
+#include "Discovery/FallbackRank.h"
 
 #include <chrono>
 #include <optional>
@@ -10,7 +11,8 @@
 
 /// Decides whether this VM reads the store itself. To limit the load of a fleet
 /// on the store, only a few elected readers read it while their peers learn of
-/// fresh answers.
+/// fresh answers. When they do not, the other VMs begin one after another, so
+/// that the first answer keeps the rest from calling.
 class StoreReadPolicy {
 public:
   /// MaxChangeDelay is the time within which a change must be in effect.
@@ -25,10 +27,20 @@
   /// Whether this VM must read the store now. IsElected: this VM is one of the
   /// elected readers. HasSnapshot: this VM has all published items, from the
   /// store or from a peer.
-  bool mustRead(common::MonotonicTime Now, bool IsElected, bool HasSnapshot);
+  bool mustRead(common::MonotonicTime Now, bool IsElected, bool HasSnapshot,
+                const FallbackRank &Rank);
+
+  /// Longest time between two calls of this VM while the store does not answer.
+  /// The VMs of a large fleet that are no elected readers share a fixed rate.
+  static std::chrono::milliseconds maxBackOff(bool IsElected, bool HasSnapshot,
+                                              const FallbackRank &Rank);
 
 private:
+  /// Age of the newest answer from which the VM of this rank reads.
+  std::chrono::milliseconds fallbackAge(const FallbackRank &Rank) const;
+
   std::chrono::milliseconds MaxAnswerAge;
+  std::chrono::milliseconds FallbackSpread;
   std::optional<common::MonotonicTime> AnsweredAt;
   /// When this VM first had all published items.
   std::optional<common::MonotonicTime> SnapshotAt;
--- a/Source/Fleet/FleetAgent.cpp
+++ b/Source/Fleet/FleetAgent.cpp
@@ -264,6 +264,7 @@
       Now, static_cast<unsigned>(1 + this->Fleet.livePeers().size()),
       this->Hints.hasUntried());
   View.VmCount = this->FleetSize.largest(Now);
+  View.IsComplete = !this->Hints.hasUntried();
   this->Listener.onFleetView(View);
 }
 
--- a/Source/Node/NodeController.cpp
+++ b/Source/Node/NodeController.cpp
@@ -128,9 +128,15 @@
   const common::MonotonicTime Now = this->Time.monotonicNow();
   if (const auto At = this->Published.lastAnswerAt())
     this->ReadPolicy.recordAnswer(*At);
-  const bool MustRead = this->ReadPolicy.mustRead(
-      Now, this->isElected(View), this->Published.hasSnapshot());
-  this->ReadControl->setReadingEnabled(MustRead, this->Published.revision());
+  const auto Rank =
+      discovery::FallbackRank::of(View.EntryVms.front().Vm, View.LiveVms);
+  const bool IsElected = this->isElected(View);
+  const bool HasSnapshot = this->Published.hasSnapshot();
+  const bool MustRead =
+      this->ReadPolicy.mustRead(Now, IsElected, HasSnapshot, Rank);
+  this->ReadControl->setMode(
+      {MustRead, this->Published.revision(),
+       discovery::StoreReadPolicy::maxBackOff(IsElected, HasSnapshot, Rank)});
   if (MustRead == this->IsReading)
     return;
   this->IsReading = MustRead;
@@ -142,7 +148,9 @@
 void NodeController::onPeerAcknowledged(const common::Address &Peer,
                                         const membership::MemberStatus &Status,
                                         common::MonotonicTime SentAt) {
-  this->ReadPolicy.recordAnswer(SentAt - Status.ServiceAnswerAge);
+  const common::MonotonicTime AnsweredAt = SentAt - Status.ServiceAnswerAge;
+  this->ReadPolicy.recordAnswer(AnsweredAt);
+  this->Published.onPeerAnswered(AnsweredAt);
   this->Exchange.onPeerStatus(Peer, Status);
 }
 
@@ -158,7 +166,11 @@
 // other VMs soon learn of an answer of the store. There is one election for the
 // whole fleet instead of one for each failure domain, since a VM that learns of
 // no fresh answer reads the store itself.
+// While addresses of the fleet have not been probed yet, each VM would be among
+// the best of those that it knows.
 bool NodeController::isElected(const fleet::FleetView &View) const {
+  if (!View.IsComplete)
+    return false;
   std::vector<configuration::ReaderCandidate> Candidates;
   const auto Add = [&](const common::VmId &Vm) {
     Candidates.push_back({Vm, "", membership::ServingState::Serving});
--- a/Source/UnitTests/Discovery/PublishedStateTest.cpp
+++ b/Source/UnitTests/Discovery/PublishedStateTest.cpp
@@ -92,6 +92,34 @@
   EXPECT_EQ(this->searcherCount(), 0U);
 }
 
+// A VM that calls the store seldom during an outage hears of its end from a
+// peer, before the removals of entries that have expired.
+TEST_F(PublishedStateTest, EntryIsRetainedWhenAPeerReportsTheEndOfAnOutage) {
+  this->change("a", "searcher");
+  this->State.onUnavailable("test");
+  this->State.onPeerAnswered(this->Time.monotonicNow() - milliseconds(1));
+  this->Time.advance(milliseconds(5'000));
+  this->State.onPeerAnswered(this->Time.monotonicNow());
+  this->remove("a");
+  EXPECT_EQ(this->searcherCount(), 1U);
+  this->Time.advance(milliseconds(2'300));
+  this->State.expire();
+  EXPECT_EQ(this->searcherCount(), 0U);
+}
+
+// Its own call may be answered much later. A searcher that leaves by then must
+// not be retained.
+TEST_F(PublishedStateTest, EndOfAnOutageCountsOnce) {
+  this->change("a", "searcher");
+  this->State.onUnavailable("test");
+  this->Time.advance(milliseconds(5'000));
+  this->State.onPeerAnswered(this->Time.monotonicNow());
+  this->Time.advance(milliseconds(10'000));
+  this->State.onAvailable();
+  this->remove("a");
+  EXPECT_EQ(this->searcherCount(), 0U);
+}
+
 // The end of the retention time must not drop an entry that was registered
 // again.
 TEST_F(PublishedStateTest, EntryRegisteredAgainAfterAnOutageIsKept) {
--- a/Source/UnitTests/Discovery/StoreFollowerTest.cpp
+++ b/Source/UnitTests/Discovery/StoreFollowerTest.cpp
@@ -37,7 +37,7 @@
                                  false,
                                  AtRevision,
                                  ""});
-    this->Follower.poll(this->Store, 0);
+    this->Follower.poll(this->Store, {});
   }
 
   testsupport::ManualClock Time;
@@ -58,10 +58,10 @@
   this->Store.Pages = {
       {StoreStatus::Answered, {{"a", "1", 5}}, true, 10, ""},
       {StoreStatus::Answered, {{"b", "1", 12}}, false, 13, ""}};
-  this->Follower.poll(this->Store, 0);
+  this->Follower.poll(this->Store, {});
   EXPECT_EQ(this->Snapshots, std::vector<std::size_t>{2});
   EXPECT_EQ(this->Store.PagesAfter, (std::vector<std::string>{"", "a"}));
-  this->Follower.poll(this->Store, 0);
+  this->Follower.poll(this->Store, {});
   EXPECT_EQ(this->Store.WatchesAfter, std::vector<std::uint64_t>{10});
 }
 
@@ -70,8 +70,8 @@
 TEST_F(StoreFollowerTest, WatchBeginsAtTheOldestRevisionOfStalePages) {
   this->Store.Pages = {{StoreStatus::Answered, {{"a", "1", 5}}, true, 10, ""},
                        {StoreStatus::Answered, {{"b", "1", 4}}, false, 7, ""}};
-  this->Follower.poll(this->Store, 0);
-  this->Follower.poll(this->Store, 0);
+  this->Follower.poll(this->Store, {});
+  this->Follower.poll(this->Store, {});
   EXPECT_EQ(this->Store.WatchesAfter, std::vector<std::uint64_t>{7});
 }
 
@@ -81,7 +81,7 @@
 TEST_F(StoreFollowerTest, OnlyTheFirstReadMayBeStale) {
   this->readAll(10);
   this->Store.Watches.push_back({StoreStatus::HistoryLost, {}, 0, ""});
-  this->Follower.poll(this->Store, 0);
+  this->Follower.poll(this->Store, {});
   this->readAll(20);
   EXPECT_EQ(
       this->Store.Consistencies,
@@ -92,7 +92,7 @@
 // s, a version took effect 5 s late.
 TEST_F(StoreFollowerTest, WatchEndsSoonEnoughForConfigurationToApply) {
   this->readAll(10);
-  this->Follower.poll(this->Store, 0);
+  this->Follower.poll(this->Store, {});
   EXPECT_LE(this->Store.LongestWait, milliseconds(2'000));
 }
 
@@ -102,9 +102,9 @@
   this->Store.Watches = {
       {StoreStatus::Answered, {{{"a", "2", 11}, false}}, 11, ""},
       {StoreStatus::Answered, {}, 11, ""}};
-  EXPECT_GE(this->Follower.poll(this->Store, 0), milliseconds(300));
+  EXPECT_GE(this->Follower.poll(this->Store, {}), milliseconds(300));
   EXPECT_EQ(this->Changes, 1U);
-  EXPECT_EQ(this->Follower.poll(this->Store, 0), milliseconds(0));
+  EXPECT_EQ(this->Follower.poll(this->Store, {}), milliseconds(0));
 }
 
 // A watch cannot continue after lost history, and a delay would add to the age
@@ -112,7 +112,7 @@
 TEST_F(StoreFollowerTest, AllItemsAreReadAgainAtOnceAfterLostHistory) {
   this->readAll(10);
   this->Store.Watches = {{StoreStatus::HistoryLost, {}, 0, ""}};
-  EXPECT_EQ(this->Follower.poll(this->Store, 0), milliseconds(0));
+  EXPECT_EQ(this->Follower.poll(this->Store, {}), milliseconds(0));
   EXPECT_EQ(this->HistoryLosses, 1);
   this->readAll(20);
   EXPECT_EQ(this->Snapshots.size(), 2U);
@@ -122,14 +122,14 @@
 // failure is not an outage.
 TEST_F(StoreFollowerTest, OneFailedCallIsNotAnOutage) {
   this->readAll(10);
-  this->Follower.poll(this->Store, 0);
+  this->Follower.poll(this->Store, {});
   EXPECT_EQ(this->Outages, 0);
-  this->Follower.poll(this->Store, 0);
+  this->Follower.poll(this->Store, {});
   EXPECT_EQ(this->Outages, 1);
-  this->Follower.poll(this->Store, 0);
+  this->Follower.poll(this->Store, {});
   EXPECT_EQ(this->Outages, 1);
   this->Store.Watches = {{StoreStatus::Answered, {}, 10, ""}};
-  this->Follower.poll(this->Store, 0);
+  this->Follower.poll(this->Store, {});
   EXPECT_EQ(this->Recoveries, 1);
 }
 
@@ -137,7 +137,7 @@
 TEST_F(StoreFollowerTest, FailedCallsBackOffToASecond) {
   milliseconds MaxWait{0};
   for (int I = 0; I < 10; ++I) {
-    const milliseconds Wait = this->Follower.poll(this->Store, 0);
+    const milliseconds Wait = this->Follower.poll(this->Store, {});
     EXPECT_GE(Wait, milliseconds(50));
     MaxWait = std::max(MaxWait, Wait);
   }
--- a/Source/UnitTests/Discovery/StoreReadPolicyTest.cpp
+++ b/Source/UnitTests/Discovery/StoreReadPolicyTest.cpp
@@ -12,7 +12,7 @@
 protected:
   bool mustRead(bool IsElected = false, bool HasSnapshot = true) {
     return this->ReadPolicy.mustRead(this->Time.monotonicNow(), IsElected,
-                                     HasSnapshot);
+                                     HasSnapshot, this->Rank);
   }
 
   void recordAnswerNow() {
@@ -20,6 +20,7 @@
   }
 
   testsupport::ManualClock Time;
+  FallbackRank Rank;
   StoreReadPolicy ReadPolicy{milliseconds(3'000)};
 };
 
@@ -42,6 +43,34 @@
   EXPECT_TRUE(this->mustRead());
 }
 
+// All VMs of a fleet hear of the last answer at the same time. If all began to
+// read together, an outage would cost a call of each of them.
+TEST_F(StoreReadPolicyTest, VmsOfALargeFleetBeginToReadOneAfterAnother) {
+  this->recordAnswerNow();
+  this->Time.advance(milliseconds(2'110));
+  this->Rank = {0, 200};
+  EXPECT_TRUE(this->mustRead());
+  StoreReadPolicy Last{milliseconds(3'000)};
+  Last.recordAnswer(this->Time.monotonicNow() - milliseconds(2'110));
+  const FallbackRank LastRank{199, 200};
+  EXPECT_FALSE(Last.mustRead(this->Time.monotonicNow(), false, true, LastRank));
+  this->Time.advance(milliseconds(450));
+  EXPECT_TRUE(Last.mustRead(this->Time.monotonicNow(), false, true, LastRank))
+      << "still before changes must be in effect";
+}
+
+TEST_F(StoreReadPolicyTest, VmsOfALargeFleetShareARateOfCallsInAnOutage) {
+  EXPECT_EQ(StoreReadPolicy::maxBackOff(false, true, {0, 8}),
+            milliseconds(1'000));
+  EXPECT_EQ(StoreReadPolicy::maxBackOff(false, true, {5, 200}),
+            milliseconds(25'000));
+  EXPECT_EQ(StoreReadPolicy::maxBackOff(true, true, {5, 200}),
+            milliseconds(1'000));
+  EXPECT_EQ(StoreReadPolicy::maxBackOff(false, false, {5, 200}),
+            milliseconds(1'000))
+      << "a VM without a configuration cannot serve";
+}
+
 // Without the wait, each VM of a fleet of 69 that starts together watches the
 // store for 4 s.
 TEST_F(StoreReadPolicyTest, VmThatHasJustReadTheStoreWaitsForItsPeers) {
