--- a/Source/Peering/ConfigurationSync.cpp
+++ b/Source/Peering/ConfigurationSync.cpp
@@ -122,7 +122,10 @@
 
 void ConfigurationSync::onPullFailed(const common::Address &From) {
   this->IsPulling = false;
-  this->PullStates[From].NextPullAt = this->Time.monotonicNow() + FailureDelay;
+  // The states of all peers may have been dropped since the pull began.
+  const auto Found = this->PullStates.find(From);
+  if (Found != this->PullStates.end())
+    Found->second.NextPullAt = this->Time.monotonicNow() + FailureDelay;
 }
 
 } // namespace acaciacross::peering
--- a/Source/UnitTests/platform/CodecTest.cpp
+++ b/Source/UnitTests/platform/CodecTest.cpp
@@ -167,6 +167,9 @@
   EXPECT_EQ(decodeBase64(""), "");
   EXPECT_FALSE(decodeBase64("YQ="));
   EXPECT_FALSE(decodeBase64("!!!!"));
+  // Characters after the padding would be dropped silently.
+  EXPECT_FALSE(decodeBase64("YQ=a"));
+  EXPECT_FALSE(decodeBase64("YQ=\n"));
 }
 
 } // namespace acaciacross::adapter
