--- a/Source/Fleet/FleetViewListener.h
+++ b/Source/Fleet/FleetViewListener.h
@@ -8,7 +8,7 @@
 
 namespace acaciacross::fleet {
 
-/// Receives the view of the fleet after each round of probes and each change.
+/// Receives the view of the fleet after each round of probes.
 /// Called on the control thread.
 class FleetViewListener {
 public:
