--- a/Source/Fleet/FleetAgent.cpp
+++ b/Source/Fleet/FleetAgent.cpp
@@ -52,6 +52,7 @@
   this->schedule(StartupProbePeriod);
   this->StartedAt = this->Time.monotonicNow();
   this->StartupUntil = this->StartedAt + StartupTime;
+  this->Probes.setDiscovering(true);
 }
 
 FleetAgent::~FleetAgent() { this->reactor()->cancel_timer(this); }
@@ -83,6 +84,7 @@
       this->Hints.hasUntried() && Now < this->StartedAt + MaxStartupTime;
   if (this->StartupUntil && Now >= *this->StartupUntil && !IsDiscovering) {
     this->StartupUntil.reset();
+    this->Probes.setDiscovering(false);
     this->schedule(membership::ProbePeriod);
     return 0;
   }
@@ -107,6 +109,8 @@
   this->relayEvidence(From, Message.Sequence, Message.Content.Sender.Vm);
   this->Socket.sendAck(From, Message.Sequence, this->NextHeartbeat);
   this->Hints.add(From, this->Time.monotonicNow());
+  if (!this->Fleet.knows(From))
+    this->Hints.retry(From);
   this->applyContent(From, Message.Content);
 }
 
@@ -141,11 +145,17 @@
   const auto SentAt = this->Probes.pendingSince(Message.Sequence, From);
   if (!SentAt)
     return;
-  for (const membership::PeerEvidence &Evidence : Message.Peers)
-    if (Evidence.Vm != this->Settings.Vm)
-      this->handleEvents(
-          this->Fleet.applyEvidence(Evidence, *SentAt - Evidence.Age),
-          "evidence of another VM");
+  for (const membership::PeerEvidence &Evidence : Message.Peers) {
+    if (Evidence.Vm == this->Settings.Vm)
+      continue;
+    if (this->Fleet.find(Evidence.Vm) == nullptr) {
+      this->Hints.add(Evidence.PeerAddress, Now);
+      this->Hints.retry(Evidence.PeerAddress);
+    }
+    this->handleEvents(
+        this->Fleet.applyEvidence(Evidence, *SentAt - Evidence.Age),
+        "evidence of another VM");
+  }
 }
 
 void FleetAgent::relayEvidence(const common::Address &To,
@@ -169,6 +179,10 @@
   this->Probes.discardPending();
   this->Socket.discardQueuedDatagrams();
   this->Fleet.discardEvidence(this->Time.monotonicNow());
+  // Acknowledgements of peers that this VM does not know yet were dropped, too.
+  for (const common::Address &Hint : this->Hints.addresses())
+    if (!this->Fleet.knows(Hint))
+      this->Hints.retry(Hint);
   this->Log.write(logging::LogRecord(common::LogEvent::PauseDetected)
                       .milliseconds("paused_ms", PauseLength));
 }
--- a/Source/Membership/AddressHints.cpp
+++ b/Source/Membership/AddressHints.cpp
@@ -36,12 +36,21 @@
   this->Untried.insert(Peer);
 }
 
+void AddressHints::retry(const common::Address &Peer) {
+  if (this->MentionedAt.contains(Peer))
+    this->Untried.insert(Peer);
+}
+
 std::optional<common::Address> AddressHints::takeUntried() {
   if (this->Untried.empty())
     return std::nullopt;
   return this->Untried.extract(this->Untried.begin()).value();
 }
 
+void AddressHints::markTried(const common::Address &Peer) {
+  this->Untried.erase(Peer);
+}
+
 bool AddressHints::hasUntried() const { return !this->Untried.empty(); }
 
 void AddressHints::expire(common::MonotonicTime Now) {
--- a/Source/Membership/AddressHints.h
+++ b/Source/Membership/AddressHints.h
@@ -26,12 +26,17 @@
 
   void add(const common::Address &Peer, common::MonotonicTime Now);
 
+  /// Makes a known address count as untried again: there is a sign that a VM is
+  /// live there, but its acknowledgement did not arrive.
+  void retry(const common::Address &Peer);
+
   /// Removes addresses that were not mentioned for a minute.
   void expire(common::MonotonicTime Now);
 
-  /// Returns an address that this function has not returned before; empty if
-  /// there is none.
+  /// Returns an address that this function has not returned before, or not
+  /// since retry; empty if there is none.
   std::optional<common::Address> takeUntried();
+  void markTried(const common::Address &Peer);
   bool hasUntried() const;
 
   std::vector<common::Address> addresses() const;
--- a/Source/Membership/EvidenceRelay.cpp
+++ b/Source/Membership/EvidenceRelay.cpp
@@ -22,7 +22,7 @@
       continue;
     // Rounded up, so that passing it on does not make evidence younger.
     Evidence.push_back(
-        {Vm, Peer->Status.Incarnation,
+        {Vm, Peer->Status.Incarnation, Peer->PeerAddress,
          std::chrono::ceil<std::chrono::milliseconds>(Now - Peer->EvidenceAt),
          Peer->Status.BusyPerMille});
   }
--- a/Source/Membership/FleetLimits.h
+++ b/Source/Membership/FleetLimits.h
@@ -43,6 +43,11 @@
 constexpr std::size_t SmallFleetProbesPerRound = 8;
 constexpr std::size_t LargeFleetProbesPerRound = 3;
 
+/// Maximum number of addresses that were never probed in one round of a VM that
+/// has just started. Until it knows the fleet, it neither knows which VMs take
+/// callers nor its share of the fleet's limits.
+constexpr std::size_t DiscoveryProbesPerRound = 12;
+
 /// Maximum number of peers in the table: a fleet of 6,600 VMs, as expected in
 /// two years, and room for replacements.
 constexpr std::size_t MaxPeers = 8192;
--- a/Source/Membership/PeerEvidence.h
+++ b/Source/Membership/PeerEvidence.h
@@ -1,6 +1,7 @@
 #ifndef ACACIACROSS_MEMBERSHIP_PEEREVIDENCE_H
 #define ACACIACROSS_MEMBERSHIP_PEEREVIDENCE_H
 
+#include "Common/Address.h"
 #include "Common/Identifiers.h"
 
 #include <chrono>
@@ -17,6 +18,8 @@
 struct PeerEvidence {
   common::VmId Vm;
   common::Incarnation Incarnation;
+  /// For a receiver that does not know the VM yet and probes it.
+  common::Address PeerAddress;
   /// Time since the probe was sent that the VM acknowledged as "serving".
   std::chrono::milliseconds Age{0};
   /// Share of about the last second in which its traffic thread was not
--- a/Source/Membership/Prober.cpp
+++ b/Source/Membership/Prober.cpp
@@ -51,6 +51,10 @@
 
 void Prober::setPlan(ProbePlan NewPlan) { this->Plan = std::move(NewPlan); }
 
+void Prober::setDiscovering(bool IsSearching) {
+  this->IsDiscovering = IsSearching;
+}
+
 void Prober::discardPending() { this->Pending.clear(); }
 
 std::vector<common::Address> Prober::chooseTargets(const FleetTable &Fleet,
@@ -62,9 +66,10 @@
     for (const common::Address &Hint : Hints.addresses())
       Candidates.insert(Hint);
     if (Candidates.size() <= MaxSmallFleetPeers) {
-      while (Hints.takeUntried())
-        ;
-      return this->chooseRoundRobin(Candidates);
+      std::vector<common::Address> Targets = this->chooseRoundRobin(Candidates);
+      for (const common::Address &Target : Targets)
+        Hints.markTried(Target);
+      return Targets;
     }
   }
   return this->chooseSample(Fleet, Hints);
@@ -100,7 +105,7 @@
       Suspects.push_back(&Record.PeerAddress);
   }
   std::set<common::Address> Targets;
-  addUntried(Targets, Fleet, Hints);
+  this->addUntried(Targets, Fleet, Hints);
   if (Targets.empty())
     this->addPreferred(Targets);
   const bool HasPlan = !this->Plan.Preferred.empty();
@@ -126,8 +131,10 @@
 }
 
 void Prober::addUntried(std::set<common::Address> &Targets,
-                        const FleetTable &Fleet, AddressHints &Hints) {
-  while (Targets.size() < LargeFleetProbesPerRound) {
+                        const FleetTable &Fleet, AddressHints &Hints) const {
+  const std::size_t MaxTargets =
+      this->IsDiscovering ? DiscoveryProbesPerRound : LargeFleetProbesPerRound;
+  while (Targets.size() < MaxTargets) {
     const auto Next = Hints.takeUntried();
     if (!Next)
       return;
--- a/Source/Membership/Prober.h
+++ b/Source/Membership/Prober.h
@@ -24,6 +24,8 @@
   /// Sets which peers of a large fleet are probed regularly. Others are sampled
   /// at random.
   void setPlan(ProbePlan NewPlan);
+  /// Sets whether this VM has just started and looks for its peers.
+  void setDiscovering(bool IsSearching);
   /// Sends one round of probes to peers and hinted addresses.
   void tick(common::MonotonicTime Now, FleetTable &Fleet, AddressHints &Hints,
             const Heartbeat &Content);
@@ -55,8 +57,8 @@
   std::optional<common::Address> pickUnknownHint(const FleetTable &Fleet,
                                                  const AddressHints &Hints);
   /// Adds addresses that were never probed, up to the size of a round.
-  static void addUntried(std::set<common::Address> &Targets,
-                         const FleetTable &Fleet, AddressHints &Hints);
+  void addUntried(std::set<common::Address> &Targets, const FleetTable &Fleet,
+                  AddressHints &Hints) const;
   void expire(common::MonotonicTime Now);
 
   PeerChannel &Channel;
@@ -64,6 +66,7 @@
   std::uint64_t NextSequence;
   common::Address LastRoundRobinTarget;
   ProbePlan Plan;
+  bool IsDiscovering = false;
   std::size_t NextPreferred = 0;
   std::size_t RoundsSinceSample = 0;
   std::map<std::uint64_t, PendingProbe> Pending;
--- a/Source/Peering/DatagramCodec.cpp
+++ b/Source/Peering/DatagramCodec.cpp
@@ -28,7 +28,7 @@
 }
 
 std::size_t encodedSize(const PeerEvidence &Peer) {
-  return 1 + Peer.Vm.Value.size() + 8 + 2 + 2;
+  return 1 + Peer.Vm.Value.size() + 8 + 4 + 2 + 2 + 2;
 }
 
 /// Number of leading entries that fit; subtracts their bytes from
@@ -112,6 +112,7 @@
     const PeerEvidence &Peer = Message.Peers[Index];
     Out.name(Peer.Vm.Value, MaxNameBytes);
     Out.number(Peer.Incarnation.Value);
+    Out.address(Peer.PeerAddress);
     Out.number(clampToUint16(static_cast<unsigned>(Peer.Age.count())));
     Out.number(clampToUint16(Peer.BusyPerMille));
   }
@@ -126,6 +127,7 @@
     PeerEvidence Peer;
     Peer.Vm = common::VmId(In.name(MaxNameBytes));
     Peer.Incarnation = common::Incarnation(In.number<std::uint64_t>());
+    Peer.PeerAddress = In.address();
     Peer.Age = std::chrono::milliseconds(In.number<std::uint16_t>());
     Peer.BusyPerMille = In.number<std::uint16_t>();
     Message.Peers.push_back(std::move(Peer));
--- a/Source/UnitTests/Membership/ProberTest.cpp
+++ b/Source/UnitTests/Membership/ProberTest.cpp
@@ -60,6 +60,17 @@
   EXPECT_EQ(this->Observer.Fleet.records().size(), 80U);
 }
 
+// Addresses that are known while the fleet still looks small count as untried
+// until they have been probed. Otherwise a starting VM of a fleet of 20 knew
+// one of its peers only after ten seconds.
+TEST_F(ProberTest, AddressesOfAFleetThatGrowsAreAllTriedSoon) {
+  this->addRemotes(15);
+  this->Observer.runFor(milliseconds(200));
+  this->addRemotes(40);
+  this->Observer.runFor(milliseconds(14 * 200));
+  EXPECT_EQ(this->Observer.Fleet.records().size(), 40U);
+}
+
 // Address answers list a placed VM only while its evidence is fresh.
 TEST_F(ProberTest, PreferredPeersOfALargeFleetKeepFreshEvidence) {
   this->addRemotes(80);
--- a/Source/UnitTests/Peering/DatagramCodecTest.cpp
+++ b/Source/UnitTests/Peering/DatagramCodecTest.cpp
@@ -46,6 +46,7 @@
   for (std::size_t I = 0; I < membership::MaxRelayedPeers; ++I)
     Sent.Peers.push_back({common::VmId("front-ho-thac-ba-" + std::to_string(I)),
                           common::Incarnation(~std::uint64_t{0} - I),
+                          common::Address{"10.1.2.3", 7'400},
                           std::chrono::milliseconds(40 * I),
                           static_cast<unsigned>(I)});
   const std::string Bytes = encodeDatagram(Sent);
