Discovery, Node: removals that come during an outage are kept back

They pulled the removals of lapsed entries from a peer before they knew that the store was back: acknowledgements carried the new revision at once, but the age of the answer only after the next round of probes.

Change: PublishedState retains a removed entry while it knows of an outage, and from its end for the usual time. NodeController records an answer together with the changes that it brings.

--- a/Source/Discovery/PublishedState.cpp
+++ b/Source/Discovery/PublishedState.cpp
@@ -54,9 +54,7 @@
   }
 }
 
-void PublishedState::onAnswered() {
-  this->AnsweredAt = this->Time.monotonicNow();
-}
+void PublishedState::onAnswered() {}
 
 void PublishedState::onCallFailed(const std::string &Problem,
                                   std::chrono::milliseconds Duration) {
@@ -85,6 +83,9 @@
     return;
   const common::MonotonicTime Now = this->Time.monotonicNow();
   this->RetainRemovedUntil = Now + ReregistrationTime;
+  for (auto &[Key, Record] : this->Entries)
+    if (Record.RetainedUntil == common::MonotonicTime::max())
+      Record.RetainedUntil = this->RetainRemovedUntil;
   this->Log.write(
       logging::LogRecord(common::LogEvent::StoreAvailable)
           .milliseconds("away_ms", Now - this->UnavailableSince.value_or(Now)));
@@ -176,10 +177,6 @@
   this->RemovalsUnknownUpTo = std::max(this->RemovalsUnknownUpTo, Newest);
 }
 
-std::optional<common::MonotonicTime> PublishedState::lastAnswerAt() const {
-  return this->AnsweredAt;
-}
-
 void PublishedState::applyRemoval(const std::string &Key,
                                   std::uint64_t Revision) {
   if (!this->Decoder.isUsed(Key) || !this->isNewer(Key, Revision))
@@ -275,14 +272,19 @@
   if (It == this->Entries.end())
     return;
   SearcherRecord &Record = It->second;
-  const bool MayReturn = this->Time.monotonicNow() < this->RetainRemovedUntil &&
-                         !Record.Entry.IsDraining;
+  // During an outage a peer may pass on removals before this VM hears that the
+  // store is back.
+  const bool IsAway = this->UnavailableSince.has_value();
+  const bool MayReturn =
+      (IsAway || this->Time.monotonicNow() < this->RetainRemovedUntil) &&
+      !Record.Entry.IsDraining;
   if (!MayReturn) {
     this->eraseEntry(Key, "its entry was removed");
     return;
   }
   if (!Record.RetainedUntil)
-    Record.RetainedUntil = this->RetainRemovedUntil;
+    Record.RetainedUntil =
+        IsAway ? common::MonotonicTime::max() : this->RetainRemovedUntil;
 }
 
 void PublishedState::eraseEntry(const std::string &Key, const char *Reason) {
--- a/Source/Discovery/PublishedState.h
+++ b/Source/Discovery/PublishedState.h
@@ -30,6 +30,7 @@
                   std::uint64_t Revision) override;
   void onChanges(std::vector<StoreChange> Changes,
                  std::uint64_t Revision) override;
+  /// Nothing changes; the answers' age is for StoreReadPolicy.
   void onAnswered() override;
   void onCallFailed(const std::string &Problem,
                     std::chrono::milliseconds Duration) override;
@@ -57,8 +58,6 @@
   /// Counts the changes of the results of searchers() and table().
   std::uint64_t changes() const;
   bool hasSnapshot() const;
-  /// When the store last answered this VM; empty if it never did.
-  std::optional<common::MonotonicTime> lastAnswerAt() const;
 
 private:
   struct SearcherRecord {
@@ -97,7 +96,6 @@
   /// Removals up to this revision may be unknown.
   std::uint64_t RemovalsUnknownUpTo = 0;
   std::optional<common::MonotonicTime> UnavailableSince;
-  std::optional<common::MonotonicTime> AnsweredAt;
   common::MonotonicTime RetainRemovedUntil;
   std::uint64_t ChangeCount = 0;
   bool HasSnapshot = false;
--- a/Source/Node/NodeController.cpp
+++ b/Source/Node/NodeController.cpp
@@ -100,7 +100,10 @@
 }
 
 void NodeController::onAnswered() {
-  this->Reactor.post([this] { this->Published.onAnswered(); });
+  this->Reactor.post([this] {
+    // Peers hear of the answer no later than of the changes that it brings.
+    this->ReadPolicy.recordAnswer(this->Time.monotonicNow());
+  });
 }
 
 void NodeController::onCallFailed(const std::string &Problem,
@@ -126,8 +129,6 @@
 void NodeController::onFleetView(const fleet::FleetView &View) {
   this->Traffic.setFleet(View);
   const common::MonotonicTime Now = this->Time.monotonicNow();
-  if (const auto At = this->Published.lastAnswerAt())
-    this->ReadPolicy.recordAnswer(*At);
   const auto Rank =
       discovery::FallbackRank::of(View.EntryVms.front().Vm, View.LiveVms);
   const bool IsElected = this->isElected(View);
--- a/Source/UnitTests/Discovery/PublishedStateTest.cpp
+++ b/Source/UnitTests/Discovery/PublishedStateTest.cpp
@@ -107,6 +107,25 @@
   EXPECT_EQ(this->searcherCount(), 0U);
 }
 
+// A peer may pass on the removals of expired entries before this VM hears that
+// the store is back. A VM dropped 34 searchers at once that way.
+TEST_F(PublishedStateTest, EntryRemovedInAnOutageIsRetainedUntilAfterItsEnd) {
+  this->change("a", "searcher");
+  this->State.onUnavailable("test");
+  this->Time.advance(milliseconds(5'000));
+  this->remove("a");
+  this->Time.advance(milliseconds(5'000));
+  this->State.expire();
+  EXPECT_EQ(this->searcherCount(), 1U);
+  this->State.onAvailable();
+  this->Time.advance(milliseconds(2'100));
+  this->State.expire();
+  EXPECT_EQ(this->searcherCount(), 1U);
+  this->Time.advance(milliseconds(200));
+  this->State.expire();
+  EXPECT_EQ(this->searcherCount(), 0U);
+}
+
 // Its own call may be answered much later. A searcher that leaves by then must
 // not be retained.
 TEST_F(PublishedStateTest, EndOfAnOutageCountsOnce) {
