Gateway: waiting requests end when no searcher may be asked any more

Cause: when a connection became free, one waiting request was told. If it gave up, because all searchers of the service had asked for time or were lost, nobody told the next one: eight of 16 requests waited for their deadline although they could not be served.

Change: the next one is told until one takes the connection or goes on waiting.

--- a/Source/Gateway/UpstreamSender.cpp
+++ b/Source/Gateway/UpstreamSender.cpp
@@ -421,16 +421,29 @@
     const common::ServiceName &Service) {
   if (!this->Waiting.contains(Service))
     return;
-  this->Loop.schedule(this->Loop.now(), [this, Service] {
+  this->Loop.schedule(this->Loop.now(),
+                      [this, Service] { this->notifyWaiting(Service); });
+}
+
+// A listener that neither takes the connection nor waits on has given up,
+// because no searcher of the service may be asked any more. Nothing would
+// notify those behind it.
+void UpstreamSender::notifyWaiting(const common::ServiceName &Service) {
+  while (true) {
     const auto Found = this->Waiting.find(Service);
     if (Found == this->Waiting.end())
       return;
     forwarding::AttemptListener *First = Found->second.front();
     Found->second.pop_front();
-    if (Found->second.empty())
+    const std::size_t LeftCount = Found->second.size();
+    if (LeftCount == 0)
       this->Waiting.erase(Found);
+    const std::uint64_t NumberBefore = this->NextNumber;
     First->onConnectionAvailable(Service);
-  });
+    if (this->NextNumber != NumberBefore ||
+        this->waitingCount(Service) > LeftCount)
+      return;
+  }
 }
 
 } // namespace acaciacross::gateway
--- a/Source/Gateway/UpstreamSender.h
+++ b/Source/Gateway/UpstreamSender.h
@@ -93,6 +93,7 @@
   void onLingerEnd(forwarding::AttemptNumber Attempt);
   /// Notifies the next listener that awaits a connection at the service.
   void notifyConnectionAvailable(const common::ServiceName &Service);
+  void notifyWaiting(const common::ServiceName &Service);
 
   net::EventLoop &Loop;
   forwarding::ServiceRegistry &Registry;
--- a/Source/UnitTests/platform/NodeSearcherNoticeTest.cpp
+++ b/Source/UnitTests/platform/NodeSearcherNoticeTest.cpp
@@ -74,4 +74,37 @@
   EXPECT_GT(Asked, 0U) << "the searcher is used again after its pause";
 }
 
+// Requests that wait for a connection must not wait until their deadline when
+// the searcher asks for time meanwhile.
+TEST_F(NodeSearcherNoticeTest, WaitingRequestsAreRefusedWhenAPauseBegins) {
+  constexpr std::size_t FastAnswers = 30;
+  this->addSearcher("p", [](std::size_t Index, const std::string &) {
+    if (Index < FastAnswers)
+      return makeResponse("fast");
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    return std::string("HTTP/1.1 503 Busy\r\nX-Request-Id: r1\r\n"
+                       "X-Not-Executed: 1\r\nRetry-After: 5\r\n"
+                       "Content-Length: 0\r\n\r\n");
+  });
+  this->publishConfiguration();
+  // Requests are only queued once the service is known to be fast.
+  for (std::size_t I = 0; I < FastAnswers; ++I)
+    this->sendRequest("GET /safe/x");
+  std::atomic<int> RefusedInTime{0};
+  std::vector<std::jthread> Callers;
+  for (int I = 0; I < 16; ++I)
+    Callers.emplace_back([&, I] {
+      const auto Begin = std::chrono::steady_clock::now();
+      const std::string Answer = this->sendRequest("GET /safe/x");
+      const bool IsInTime = std::chrono::steady_clock::now() - Begin <
+                            std::chrono::milliseconds(600);
+      if (IsInTime && contains(Answer, "503") &&
+          (contains(Answer, "Retry-After: 4.9") ||
+           contains(Answer, "Retry-After: 5.0")))
+        ++RefusedInTime;
+    });
+  Callers.clear();
+  EXPECT_EQ(RefusedInTime, 16);
+}
+
 } // namespace acaciacross::adapter
