--- a/Source/UnitTests/platform/DecoderFuzzTest.cpp
+++ b/Source/UnitTests/platform/DecoderFuzzTest.cpp
@@ -79,7 +79,8 @@
     return Text;
   }
 
-  template <typename Message> void feed(Message &Parser, std::string Bytes) {
+  template <typename Message>
+  void feed(Message &Parser, const std::string &Bytes) {
     std::string_view Rest = Bytes;
     while (!Rest.empty() && !Parser.isComplete() &&
            Parser.problem() == http::ParseProblem::None) {
--- a/Source/UnitTests/platform/NodeSearcherNoticeTest.cpp
+++ b/Source/UnitTests/platform/NodeSearcherNoticeTest.cpp
@@ -91,9 +91,11 @@
   for (std::size_t I = 0; I < FastAnswers; ++I)
     this->sendRequest("GET /safe/x");
   std::atomic<int> RefusedInTime{0};
+  constexpr int CallerCount = 16;
   std::vector<std::jthread> Callers;
-  for (int I = 0; I < 16; ++I)
-    Callers.emplace_back([&, I] {
+  Callers.reserve(CallerCount);
+  for (int I = 0; I < CallerCount; ++I)
+    Callers.emplace_back([&] {
       const auto Begin = std::chrono::steady_clock::now();
       const std::string Answer = this->sendRequest("GET /safe/x");
       const bool IsInTime = std::chrono::steady_clock::now() - Begin <
@@ -104,7 +106,7 @@
         ++RefusedInTime;
     });
   Callers.clear();
-  EXPECT_EQ(RefusedInTime, 16);
+  EXPECT_EQ(RefusedInTime, CallerCount);
 }
 
 } // namespace acaciacross::adapter
