Peering: room for many connection requests at once

Cause: the transfer server listened with ACE's default backlog of five. Since standby VMs hear of changes from the two placed VMs of their failure domain, all of them pull from these at the same moment; requests beyond the backlog were repeated by the kernel after one and three seconds.

Change: a backlog of 1,024.

Result: PeerSocketTest.ManyPeersConnectAtOnceWithoutDelay failed with 6 of 100 connected and passes.

--- a/Source/Peering/TransferServer.cpp
+++ b/Source/Peering/TransferServer.cpp
@@ -11,6 +11,14 @@
 
 namespace acaciacross::peering {
 
+namespace {
+
+// All standby VMs of a failure domain may pull at the same time. Connection
+// requests beyond the backlog are lost and repeated after a second.
+constexpr int Backlog = 1'024;
+
+} // namespace
+
 TransferServer::TransferServer(const common::Address &Local,
                                ACE_Reactor &Reactor,
                                ConfigurationSource &Source,
@@ -20,7 +28,7 @@
   // Without address reuse, a restarted VM could not listen while connections of
   // the previous run are in TIME_WAIT.
   const int ReuseAddress = 1;
-  if (this->Acceptor.open(Bound, ReuseAddress) < 0 ||
+  if (this->Acceptor.open(Bound, ReuseAddress, PF_INET, Backlog) < 0 ||
       this->Acceptor.enable(ACE_NONBLOCK) < 0 ||
       Reactor.register_handler(this, ACE_Event_Handler::ACCEPT_MASK) < 0) {
     this->Acceptor.close();
--- a/Source/UnitTests/Peering/PeerSocketTest.cpp
+++ b/Source/UnitTests/Peering/PeerSocketTest.cpp
@@ -11,6 +11,7 @@
 #include <ace/INET_Addr.h>
 #include <ace/Reactor.h>
 #include <ace/SOCK_Connector.h>
+#include <ace/SOCK_Stream.h>
 #include <functional>
 
 namespace acaciacross::peering {
@@ -67,6 +68,25 @@
   TransferClient Client{this->Reactor, *this, this->Time};
 };
 
+// All standby VMs of a failure domain pull a change from two VMs at the same
+// time. A connection request beyond the backlog is lost and repeated after one
+// and three seconds, which is later than changes must be in effect.
+TEST_F(PeerSocketTest, ManyPeersConnectAtOnceWithoutDelay) {
+  constexpr std::size_t PeerCount = 100;
+  std::vector<ACE_SOCK_Stream> Streams(PeerCount);
+  const ACE_INET_Addr Remote(this->serverAddress().Port,
+                             this->serverAddress().Host.c_str());
+  ACE_SOCK_Connector Connector;
+  std::size_t ConnectedCount = 0;
+  for (ACE_SOCK_Stream &Stream : Streams) {
+    const ACE_Time_Value Timeout(0, 200'000);
+    ConnectedCount += Connector.connect(Stream, Remote, &Timeout) == 0 ? 1 : 0;
+  }
+  EXPECT_EQ(ConnectedCount, PeerCount);
+  for (ACE_SOCK_Stream &Stream : Streams)
+    Stream.close();
+}
+
 // An acknowledgement with a wrong sequence number matches no probe.
 TEST_F(PeerSocketTest, ProbeIsAcknowledgedWithItsSequenceNumber) {
   this->First.sendProbe(this->Second.local(), 41, sampleHeartbeat(1, 1));
