Review case 3: removed searcher in use again after a restart (DRAIN)

A node that starts gets the complete list of a peer and then its own, older page of the store. The page brings back a searcher that was removed in between, and nothing removes it again.

--- a/review/support/standins.hpp
+++ b/review/support/standins.hpp
@@ -351,6 +351,11 @@
     this->Listener.stop();
   }
 
+  // Each answer takes this long.
+  void setAnswerTime(milliseconds Time) { this->AnswerTime = Time; }
+  // Reads that may be stale show the store as it was this long ago.
+  void setStaleness(milliseconds Age) { this->StalenessAge = Age; }
+
   void put(const std::string &Key, const std::string &Value) {
     const std::lock_guard Guard(this->Mutex);
     Item &Entry = this->Items[Key];
@@ -359,6 +364,7 @@
     if (Entry.Created == 0)
       Entry.Created = Entry.Revision;
     this->Events.emplace_back(Entry.Revision, describe(Key, Entry));
+    this->Log.push_back({Clock::now(), this->Revision, Key, Entry});
     this->Changed.notify_all();
   }
 
@@ -371,6 +377,7 @@
         this->Revision, "{\"key\":\"" + Key + "\",\"revision\":" +
                             std::to_string(this->Revision) +
                             ",\"deleted\":true}");
+    this->Log.push_back({Clock::now(), this->Revision, Key, std::nullopt});
     this->Changed.notify_all();
   }
 
@@ -381,6 +388,14 @@
     std::uint64_t Created = 0;
   };
 
+  // A change of an item, or its removal.
+  struct Change {
+    Clock::time_point At;
+    std::uint64_t Revision;
+    std::string Key;
+    std::optional<Item> NewItem;
+  };
+
   static std::string describe(const std::string &Key, const Item &Entry) {
     return "{\"key\":\"" + Key + "\",\"value\":\"" + Entry.Value +
            "\",\"revision\":" + std::to_string(Entry.Revision) +
@@ -398,6 +413,7 @@
         Reply = this->range(Request);
       else if (Path == "/api/kv-watch")
         Reply = this->watch(Request);
+      sleepFor(this->AnswerTime.load());
       if (!sendAll(Fd, Reply))
         return;
     }
@@ -423,10 +439,24 @@
     const std::string Prefix = decode(Request.parameter("prefix"));
     const std::string After = decode(Request.parameter("after"));
     const std::lock_guard Guard(this->Mutex);
+    std::uint64_t Shown = this->Revision;
+    std::map<std::string, Item> View = this->Items;
+    if (Request.parameter("stale_ok") == "1" && this->StalenessAge.load().count() > 0) {
+      View.clear();
+      for (const Change &Old : this->Log) {
+        if (Old.At > Clock::now() - this->StalenessAge.load())
+          break;
+        Shown = Old.Revision;
+        if (Old.NewItem)
+          View[Old.Key] = *Old.NewItem;
+        else
+          View.erase(Old.Key);
+      }
+    }
     std::string List;
     std::size_t Count = 0;
     bool HasMore = false;
-    for (const auto &[Key, Entry] : this->Items) {
+    for (const auto &[Key, Entry] : View) {
       if (Key.rfind(Prefix, 0) != 0 || (!After.empty() && Key <= After))
         continue;
       if (Count++ == PageItems) {
@@ -437,7 +467,7 @@
     }
     return jsonReply("{\"items\":[" + List + "],\"has_more\":" +
                      (HasMore ? "true" : "false") + ",\"as_of\":" +
-                     std::to_string(this->Revision) + "}");
+                     std::to_string(Shown) + "}");
   }
 
   std::string watch(const Message &Request) {
@@ -461,7 +491,10 @@
   bool Stopping = false;
   std::map<std::string, Item> Items;
   std::deque<std::pair<std::uint64_t, std::string>> Events;
+  std::deque<Change> Log;
   std::uint64_t Revision = 1;
+  std::atomic<milliseconds> AnswerTime{milliseconds(0)};
+  std::atomic<milliseconds> StalenessAge{milliseconds(0)};
   Server Listener;
 };
 
@@ -496,8 +529,17 @@
     this->Writer.join();
   }
 
+  // Removes the entry of a searcher, which is not renewed any more.
+  void remove(const std::string &Id) {
+    const std::lock_guard Guard(this->Mutex);
+    std::erase_if(this->Entries,
+                  [&](const Entry &Searcher) { return Searcher.Id == Id; });
+    this->Target.remove("servers/" + Id);
+  }
+
 private:
   void write() {
+    const std::lock_guard Guard(this->Mutex);
     ++this->Sequence;
     for (const Entry &Searcher : this->Entries)
       this->Target.put(
@@ -511,6 +553,7 @@
   }
 
   Store &Target;
+  std::mutex Mutex;
   std::vector<Entry> Entries;
   unsigned Sequence = 0;
   std::atomic<bool> Stopping = false;
@@ -636,6 +679,8 @@
     this->Pid = -1;
   }
 
+  pid_t pid() const { return this->Pid; }
+
   bool isReady() const { return get(this->Ip, ReadyPort, "/api/ready") == 200; }
 
   static int get(const std::string &Ip, int Port, const std::string &Target,
