--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -9,7 +9,7 @@
 constexpr std::size_t RequestBytes = 240'000; // max_body_bytes is 262,144
 constexpr std::size_t AnswerBytes = 6'000;
 constexpr std::size_t SentBeforeReset = 2'500;
-constexpr unsigned Requests = 240;
+constexpr unsigned Requests = 800;
 // The faulty one of two searchers spoils 1 of this many answers (0.05).
 constexpr unsigned SpoiledEvery = 20;
 
--- a/review/support/standins.hpp
+++ b/review/support/standins.hpp
@@ -22,6 +22,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <deque>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <iostream>
@@ -795,9 +796,9 @@
 inline int
 runCase(const std::function<int(const std::string &Folder)> &Body) {
   ::signal(SIGPIPE, SIG_IGN);
-  char Template[] = "/tmp/acaciacross-review-XXXXXX";
-  const char *Folder = mkdtemp(Template);
-  if (Folder == nullptr)
+  std::string Folder =
+      std::filesystem::temp_directory_path() / "acaciacross-review-XXXXXX";
+  if (mkdtemp(Folder.data()) == nullptr)
     return CouldNotRun;
   int Result = CouldNotRun;
   try {
@@ -808,7 +809,7 @@
   if (environment("KEEP", "0") == "1")
     std::cout << "logs are in " << Folder << "\n";
   else
-    std::system(("rm -rf '" + std::string(Folder) + "'").c_str());
+    std::filesystem::remove_all(Folder);
   return Result;
 }
 
