--- a/review/support/standins.hpp
+++ b/review/support/standins.hpp
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -641,6 +642,8 @@
     this->Pid = fork();
     if (this->Pid != 0)
       return;
+    // The process does not outlive this one, whatever ends it.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     setenv("ACACIACROSS_BOOT", this->Settings.c_str(), 1);
     const int Fd =
         open(this->Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
