Node, Gateway, Forwarding: a planned stop cuts no request that was read

Cause: the stop ended at fixed times whatever was in progress. Requests were admitted without regard to the time left, and cut at the limit of the stop. "No request in progress" counted as the end although answers were not yet sent and connections were established but not accepted.

Change: StopSchedule gives the times; StopAdmission refuses late what may outlive the stop, as not run; what still runs shortly before the end gets its final answer then; connections close after their caller has taken all bytes, and the process exits when all are closed. No request that was read is left without an answer, so no time of the stop is a window any more.

The own interface already waits for connections and requests.

--- a/Source/Common/LogEvent.cpp
+++ b/Source/Common/LogEvent.cpp
@@ -15,6 +15,7 @@
     LogEvent::ControlTaskFailed,
     LogEvent::SettingsReloaded,
     LogEvent::LogLinesDropped,
+    LogEvent::CallersFinished,
     LogEvent::ConfigurationAccepted,
     LogEvent::ConfigurationRefused,
     LogEvent::ConfigurationServiceUnavailable,
@@ -76,6 +77,8 @@
     return "SettingsReloaded";
   case LogEvent::LogLinesDropped:
     return "LogLinesDropped";
+  case LogEvent::CallersFinished:
+    return "CallersFinished";
   case LogEvent::ConfigurationAccepted:
     return "ConfigurationAccepted";
   case LogEvent::ConfigurationRefused:
--- a/Source/Common/LogEvent.h
+++ b/Source/Common/LogEvent.h
@@ -19,6 +19,7 @@
   ControlTaskFailed = 105,
   SettingsReloaded = 106,
   LogLinesDropped = 107,
+  CallersFinished = 108,
 
   ConfigurationAccepted = 200,
   ConfigurationRefused = 201,
--- a/Source/Forwarding/Execution.cpp
+++ b/Source/Forwarding/Execution.cpp
@@ -1,6 +1,7 @@
 #include "Forwarding/Execution.h"
 
 #include "Forwarding/AvailabilityForecast.h"
+#include "Forwarding/Refusal.h"
 
 #include <algorithm>
 #include <utility>
@@ -44,7 +45,7 @@
 std::optional<common::MonotonicTime> Execution::nextDue() const {
   if (this->Finished)
     return std::nullopt;
-  common::MonotonicTime Due = this->Request->Deadline;
+  common::MonotonicTime Due = this->endsAt();
   if (const auto DecisionAt = this->nextDecisionAt())
     Due = std::min(Due, *DecisionAt);
   for (const SubRequest &Sub : this->SubRequests)
@@ -53,6 +54,10 @@
   return Due;
 }
 
+void Execution::endBy(common::MonotonicTime Time) {
+  this->EndLimit = std::min(this->EndLimit, Time);
+}
+
 void Execution::cancel() {
   if (this->Finished)
     return;
@@ -105,17 +110,24 @@
 }
 
 Answer Execution::failure(bool IsDeadlinePassed) const {
+  const bool IsInterrupted =
+      IsDeadlinePassed && this->now() < this->Request->Deadline;
   Answer Result;
   if (!this->mayHaveRun()) {
     Result.Kind = AnswerKind::Refused;
-    Result.Code = common::ResultCode::NoUsableReplica;
+    Result.Code = IsInterrupted ? common::ResultCode::NotServing
+                                : common::ResultCode::NoUsableReplica;
     Result.Message.Status = Unavailable;
-    Result.RetryAfter = this->untilUsable();
+    Result.RetryAfter =
+        IsInterrupted ? StoppingRetryDelay : this->untilUsable();
     return Result;
   }
   Result.Kind = AnswerKind::Failed;
-  Result.Code = IsDeadlinePassed ? common::ResultCode::DeadlinePassed
-                                 : common::ResultCode::AttemptLost;
+  if (IsInterrupted)
+    Result.Code = common::ResultCode::Interrupted;
+  else
+    Result.Code = IsDeadlinePassed ? common::ResultCode::DeadlinePassed
+                                   : common::ResultCode::AttemptLost;
   Result.Message.Status = IsDeadlinePassed ? GatewayTimeout : BadGateway;
   return Result;
 }
@@ -131,10 +143,14 @@
                                   RetryDelay));
 }
 
+common::MonotonicTime Execution::endsAt() const {
+  return std::min(this->Request->Deadline, this->EndLimit);
+}
+
 void Execution::evaluate() {
   if (this->Finished)
     return;
-  const bool IsDeadlinePassed = this->now() >= this->Request->Deadline;
+  const bool IsDeadlinePassed = this->now() >= this->endsAt();
   if (auto Result = this->decide(IsDeadlinePassed))
     this->finish(std::move(*Result));
 }
@@ -144,7 +160,7 @@
   this->Dependencies.Sender.cancelAwait(*this);
   // Searchers may finish open attempts unless the deadline has passed, because
   // each closed connection would have to be set up again.
-  const AbandonMode Mode = this->now() >= this->Request->Deadline
+  const AbandonMode Mode = this->now() >= this->endsAt()
                                ? AbandonMode::Cancel
                                : AbandonMode::LetFinish;
   for (SubRequest &Sub : this->SubRequests) {
--- a/Source/Forwarding/Execution.h
+++ b/Source/Forwarding/Execution.h
@@ -26,6 +26,9 @@
   /// Next time at which tick must be called; empty once the execution has
   /// ended.
   std::optional<common::MonotonicTime> nextDue() const;
+  /// Ends the request by Time at the latest: its answer is then decided as at
+  /// its deadline. This changes nextDue.
+  void endBy(common::MonotonicTime Time);
   /// Stops the attempts because the caller has disconnected. No answer is
   /// delivered.
   void cancel();
@@ -44,7 +47,7 @@
   bool mayHaveRun() const;
 
   /// Returns the answer as soon as it is decided. IsDeadlinePassed: the time
-  /// limit of the request is reached.
+  /// limit of the request, or the time set by endBy, is reached.
   virtual std::optional<Answer> decide(bool IsDeadlinePassed) = 0;
   /// An additional time at which decide must be called; empty when there is
   /// none.
@@ -55,6 +58,8 @@
 private:
   /// Time until the searchers of the request may be asked again.
   std::chrono::milliseconds untilUsable() const;
+  /// The deadline of the request, or an earlier time that endBy has set.
+  common::MonotonicTime endsAt() const;
   void evaluate();
   void finish(Answer Result);
 
@@ -62,6 +67,7 @@
   std::shared_ptr<const ForwardRequest> Request;
   AnswerSink &Sink;
   std::deque<SubRequest> SubRequests;
+  common::MonotonicTime EndLimit = common::MonotonicTime::max();
   bool Finished = false;
 };
 
--- a/Source/Forwarding/Refusal.h
+++ b/Source/Forwarding/Refusal.h
@@ -7,6 +7,10 @@
 
 namespace acaciacross::forwarding {
 
+/// When the caller of a stopping VM should retry: another VM of the address
+/// answer can take the request at once.
+constexpr std::chrono::milliseconds StoppingRetryDelay{1};
+
 /// Reason for rejecting a request before anything is sent, and when the caller
 /// should retry.
 struct Refusal {
--- a/Source/Gateway/ActiveRequest.cpp
+++ b/Source/Gateway/ActiveRequest.cpp
@@ -18,12 +18,19 @@
     this->Loop.cancel(*this->Timer);
 }
 
-void ActiveRequest::start(std::unique_ptr<forwarding::Execution> NewExecution) {
+void ActiveRequest::start(std::unique_ptr<forwarding::Execution> NewExecution,
+                          common::MonotonicTime EndBy) {
   this->Execution = std::move(NewExecution);
+  this->Execution->endBy(EndBy);
   this->Execution->start();
   this->armTimer();
 }
 
+void ActiveRequest::endBy(common::MonotonicTime Time) {
+  this->Execution->endBy(Time);
+  this->armTimer();
+}
+
 void ActiveRequest::cancel() { this->Execution->cancel(); }
 
 // The due time only moves to a later time when shards arrive. A timer that
--- a/Source/Gateway/ActiveRequest.h
+++ b/Source/Gateway/ActiveRequest.h
@@ -24,7 +24,12 @@
   ActiveRequest(const ActiveRequest &) = delete;
   ActiveRequest &operator=(const ActiveRequest &) = delete;
 
-  void start(std::unique_ptr<forwarding::Execution> NewExecution);
+  /// EndBy: see endBy; the maximum when there is no such time.
+  void start(std::unique_ptr<forwarding::Execution> NewExecution,
+             common::MonotonicTime EndBy);
+  /// Ends the request by Time at the latest, with the answer that is known
+  /// then.
+  void endBy(common::MonotonicTime Time);
   void cancel();
   /// Sets the timer for the next time at which the execution is due.
   void armTimer();
--- a/Source/Gateway/ForwardingHandler.cpp
+++ b/Source/Gateway/ForwardingHandler.cpp
@@ -79,7 +79,12 @@
     Request->cancel();
 }
 
-void ForwardingHandler::beginStop() { this->Stopping = true; }
+void ForwardingHandler::beginStop(common::MonotonicTime AnswerBy) {
+  this->Stopping = true;
+  this->AnswerBy = AnswerBy;
+  for (const auto &[Connection, Request] : this->Active)
+    Request->endBy(AnswerBy);
+}
 
 std::size_t ForwardingHandler::active() const { return this->ActiveCount; }
 
@@ -151,10 +156,12 @@
   }
   if (Target.Gather)
     Active->start(std::make_unique<forwarding::GatherExecution>(
-        this->Dependencies, Request, *Active));
+                      this->Dependencies, Request, *Active),
+                  this->AnswerBy);
   else
     Active->start(std::make_unique<forwarding::SingleExecution>(
-        this->Dependencies, Request, Services.front(), *Active));
+                      this->Dependencies, Request, Services.front(), *Active),
+                  this->AnswerBy);
 }
 
 void ForwardingHandler::onClosed(ServerConnection &Connection) {
--- a/Source/Gateway/ForwardingHandler.h
+++ b/Source/Gateway/ForwardingHandler.h
@@ -29,8 +29,9 @@
   ForwardingHandler(const ForwardingHandler &) = delete;
   ForwardingHandler &operator=(const ForwardingHandler &) = delete;
 
-  /// From now on each connection is closed after its next response.
-  void beginStop();
+  /// From now on each connection is closed after its next response, and each
+  /// request is answered by the given time at the latest.
+  void beginStop(common::MonotonicTime AnswerBy);
   /// Number of requests in progress. Thread-safe.
   std::size_t active() const;
   const RequestCounters &counters() const;
@@ -73,6 +74,7 @@
   std::atomic<std::size_t> ActiveCount = 0;
   std::uint64_t OnTargetCount = 0;
   bool Stopping = false;
+  common::MonotonicTime AnswerBy = common::MonotonicTime::max();
 };
 
 } // namespace acaciacross::gateway
--- a/Source/Gateway/Listener.cpp
+++ b/Source/Gateway/Listener.cpp
@@ -27,43 +27,57 @@
 }
 
 Listener::~Listener() {
-  this->stopAccepting();
+  this->closeSocket();
   const auto Open = this->Connections;
   for (const auto &[Key, Connection] : Open)
     Connection->close();
 }
 
-void Listener::stopAccepting() {
-  if (!this->Socket.isOpen())
-    return;
-  this->Loop.remove(this->Socket.get());
-  this->Socket.reset();
-}
-
-void Listener::closeIdle() {
+// Closing the socket resets the connections that are established but not yet
+// accepted, and their requests with them.
+void Listener::finish() {
+  while (this->acceptNext())
+    ;
+  this->closeSocket();
   const auto Open = this->Connections;
   for (const auto &[Key, Connection] : Open)
-    if (!Connection->isClosed() && !Connection->isAnswering())
-      Connection->close();
+    Connection->finish();
   this->removeClosed();
 }
 
-std::size_t Listener::size() const { return this->Connections.size(); }
+std::size_t Listener::size() {
+  this->removeClosed();
+  return this->Connections.size();
+}
 
 void Listener::onReady(std::uint32_t) {
-  for (int I = 0; I < AcceptsPerRound; ++I) {
-    net::Descriptor Accepted = net::acceptFrom(this->Socket);
-    if (!Accepted.isOpen())
-      return;
-    const auto Connection = std::make_shared<ServerConnection>(
-        this->Loop, std::move(Accepted), this->Handler);
-    this->Connections.emplace(Connection.get(), Connection);
-    Connection->open();
-  }
+  for (int I = 0; I < AcceptsPerRound; ++I)
+    if (!this->acceptNext())
+      break;
   if (this->Connections.size() >= this->CleanupThreshold)
     this->removeClosed();
 }
 
+bool Listener::acceptNext() {
+  if (!this->Socket.isOpen())
+    return false;
+  net::Descriptor Accepted = net::acceptFrom(this->Socket);
+  if (!Accepted.isOpen())
+    return false;
+  const auto Connection = std::make_shared<ServerConnection>(
+      this->Loop, std::move(Accepted), this->Handler);
+  this->Connections.emplace(Connection.get(), Connection);
+  Connection->open();
+  return true;
+}
+
+void Listener::closeSocket() {
+  if (!this->Socket.isOpen())
+    return;
+  this->Loop.remove(this->Socket.get());
+  this->Socket.reset();
+}
+
 void Listener::removeClosed() {
   std::erase_if(this->Connections,
                 [](const auto &Entry) { return Entry.second->isClosed(); });
--- a/Source/Gateway/Listener.h
+++ b/Source/Gateway/Listener.h
@@ -22,14 +22,18 @@
   Listener(const Listener &) = delete;
   Listener &operator=(const Listener &) = delete;
 
-  /// Closes the listening socket, so that new connections are refused.
-  void stopAccepting();
-  /// Closes the connections without a request in progress.
-  void closeIdle();
-  std::size_t size() const;
+  /// Accepts the connections that are already established, closes the listening
+  /// socket, so that new connections are refused, and closes each connection
+  /// once it is idle.
+  void finish();
+  /// Number of open connections.
+  std::size_t size();
 
 private:
   void onReady(std::uint32_t Events) override;
+  /// Returns false when no connection is waiting.
+  bool acceptNext();
+  void closeSocket();
   void removeClosed();
 
   net::EventLoop &Loop;
--- a/Source/Gateway/ServerConnection.cpp
+++ b/Source/Gateway/ServerConnection.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/ServerConnection.h"
 
 #include "Http/MessageWriter.h"
+#include "Net/Sockets.h"
 
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -22,6 +23,12 @@
 // learn of a changed timeout later than this VM.
 constexpr std::chrono::milliseconds IdleGrace{3'000};
 
+// How long a new connection to a stopping VM may take to bring its request.
+constexpr std::chrono::milliseconds FirstRequestTimeout{1'000};
+// How long a connection whose last response was sent waits for the caller to
+// close it.
+constexpr std::chrono::milliseconds LingerTimeout{1'000};
+
 constexpr std::string_view ContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 } // namespace
@@ -57,6 +64,25 @@
     });
 }
 
+void ServerConnection::finish() {
+  if (this->isClosed())
+    return;
+  // Closing a connection with unread bytes would reset it, and with it the
+  // response of a request that has already arrived.
+  if (!this->IsAnsweringRequest && !this->IsLingering)
+    this->onReadable();
+  if (this->isClosed() || this->IsAnsweringRequest || this->IsLingering)
+    return;
+  if (!this->Output.empty()) {
+    this->ClosesAfterOutput = true;
+    return;
+  }
+  if (this->Parser.hasStarted() || !this->HasReadRequest)
+    this->armTimer();
+  else
+    this->close();
+}
+
 void ServerConnection::close() {
   if (this->isClosed())
     return;
@@ -72,8 +98,6 @@
 
 bool ServerConnection::isClosed() const { return !this->Socket.isOpen(); }
 
-bool ServerConnection::isAnswering() const { return this->IsAnsweringRequest; }
-
 common::MonotonicTime ServerConnection::requestCompletedAt() const {
   return this->RequestCompletedAt;
 }
@@ -96,10 +120,18 @@
       ::recv(this->Socket.get(), Buffer.data(), Buffer.size(), 0);
   if (Count < 0 && (errno == EAGAIN || errno == EINTR))
     return;
+  if (Count == 0 && !this->Output.empty()) {
+    this->HasInputEnded = true;
+    this->ClosesAfterOutput = true;
+    this->watch();
+    return;
+  }
   if (Count <= 0) {
     this->close();
     return;
   }
+  if (this->ClosesAfterOutput)
+    return;
   this->Input.append(Buffer.data(), static_cast<std::size_t>(Count));
   if (!this->IsAnsweringRequest)
     this->parseBuffered();
@@ -118,6 +150,7 @@
   this->Input.erase(0, Used);
   if (this->Parser.problem() != http::ParseProblem::None) {
     this->Input.clear();
+    this->HasRejectedInput = true;
     this->KeepsAlive = false;
     this->IsAnsweringRequest = true;
     this->Handler.onRequestError(*this, this->Parser.problem());
@@ -141,6 +174,7 @@
   http::Request Request = this->Parser.take();
   this->HasSentContinue = false;
   this->IsAnsweringRequest = true;
+  this->HasReadRequest = true;
   this->RequestCompletedAt = this->Loop.now();
   this->KeepsAlive = Request.KeepAlive;
   this->IsHeadRequest = Request.Method == "HEAD";
@@ -156,10 +190,12 @@
       return;
     }
     Bytes.remove_prefix(static_cast<std::size_t>(std::max<ssize_t>(Count, 0)));
+    if (Count > 0)
+      this->WaitingSince = this->Loop.now();
   }
   this->Output.append(Bytes);
   if (this->Output.empty() && this->ClosesAfterOutput) {
-    this->close();
+    this->endOutput();
     return;
   }
   this->watch();
@@ -171,9 +207,25 @@
   this->write(Bytes);
 }
 
+// The caller must be able to read all of the response. Bytes that arrive after
+// a close reset the connection, and a stopping VM may vanish while it still has
+// unacknowledged bytes.
+void ServerConnection::endOutput() {
+  const bool AwaitsClose = this->Handler.isStopping() || this->HasRejectedInput;
+  if (!AwaitsClose || this->HasInputEnded) {
+    this->close();
+    return;
+  }
+  this->IsLingering = true;
+  this->WaitingSince = this->Loop.now();
+  ::shutdown(this->Socket.get(), SHUT_WR);
+  this->watch();
+  this->armTimer();
+}
+
 void ServerConnection::watch() {
-  std::uint32_t Wanted = EPOLLRDHUP;
-  if (this->Input.size() < MaxBufferedBytes)
+  std::uint32_t Wanted = this->HasInputEnded ? 0 : EPOLLRDHUP;
+  if (this->Input.size() < MaxBufferedBytes && !this->HasInputEnded)
     Wanted |= EPOLLIN;
   if (!this->Output.empty())
     Wanted |= EPOLLOUT;
@@ -197,8 +249,13 @@
 // A body may take as long as a connection may be idle: the timeout for heads
 // does not apply to it, and a slow link may need long.
 std::chrono::milliseconds ServerConnection::waitLimit() const {
+  if (this->IsLingering)
+    return LingerTimeout;
   if (this->Parser.hasStarted() && !this->Parser.isHeadComplete())
     return this->Handler.headTimeout();
+  if (this->Handler.isStopping() && !this->HasReadRequest &&
+      !this->Parser.hasStarted())
+    return FirstRequestTimeout;
   return this->Handler.idleTimeout() + IdleGrace;
 }
 
@@ -215,10 +272,16 @@
     this->armTimer();
     return;
   }
-  if (!HasPartialRequest) {
+  if (this->IsLingering && net::unacknowledgedBytes(this->Socket) > 0) {
+    this->WaitingSince = this->Loop.now();
+    this->armTimer();
+    return;
+  }
+  if (!HasPartialRequest || this->ClosesAfterOutput) {
     this->close();
     return;
   }
+  this->HasRejectedInput = true;
   this->KeepsAlive = false;
   this->IsAnsweringRequest = true;
   this->Handler.onRequestError(*this, http::ParseProblem::None);
--- a/Source/Gateway/ServerConnection.h
+++ b/Source/Gateway/ServerConnection.h
@@ -26,10 +26,12 @@
   void open();
   /// Sends the response to the current request.
   void respond(http::Response Response);
+  /// The VM stops: closes the connection at once if it is idle, otherwise once
+  /// the current request is answered and the answer sent.
+  void finish();
   void close();
 
   bool isClosed() const;
-  bool isAnswering() const;
   /// When the current request had been received completely.
   common::MonotonicTime requestCompletedAt() const;
 
@@ -40,6 +42,8 @@
   void dispatchRequest();
   void write(std::string_view Bytes);
   void flush();
+  /// Closes a connection whose last response has been sent.
+  void endOutput();
   void watch();
   void armTimer();
   std::chrono::milliseconds waitLimit() const;
@@ -55,10 +59,19 @@
   bool IsHeadRequest = false;
   bool KeepsAlive = false;
   bool ClosesAfterOutput = false;
+  /// Whether the last response has been sent and only the caller's close is
+  /// awaited.
+  bool IsLingering = false;
+  bool HasReadRequest = false;
+  /// Whether more bytes of a rejected request may arrive.
+  bool HasRejectedInput = false;
+  /// Whether the caller has closed its sending side.
+  bool HasInputEnded = false;
   bool HasSentContinue = false;
   std::uint32_t Interest = 0;
   common::MonotonicTime RequestCompletedAt;
-  /// Start of the current wait: for a request, or for the rest of its head.
+  /// Start of the current wait: for a request, for the rest of its head, or for
+  /// the caller to read the response.
   common::MonotonicTime WaitingSince;
   std::optional<net::TimerId> Timer;
 };
--- a/Source/Membership/StopSequence.cpp
+++ b/Source/Membership/StopSequence.cpp
@@ -2,6 +2,8 @@
 
 #include "Membership/FleetLimits.h"
 
+#include <algorithm>
+
 namespace acaciacross::membership {
 
 namespace {
@@ -15,22 +17,20 @@
 
 } // namespace
 
-void StopSequence::begin(common::MonotonicTime Now) {
+void StopSequence::begin(common::MonotonicTime Now,
+                         common::MonotonicTime CloseBy) {
   if (this->Phase != StopPhase::Running)
     return;
-  this->StartedAt = Now;
+  this->ClosesAt = std::min(Now + LingerTime, CloseBy);
   this->Phase = StopPhase::Lingering;
 }
 
-StopPhase StopSequence::advance(common::MonotonicTime Now,
-                                std::size_t RunningRequests) {
-  if (this->Phase == StopPhase::Lingering &&
-      Now - this->StartedAt >= LingerTime)
+StopPhase StopSequence::advance(common::MonotonicTime Now, bool HasCallers) {
+  if (this->Phase == StopPhase::Lingering && Now >= this->ClosesAt)
     this->Phase = StopPhase::Draining;
-  // The front end may still count a request whose connection was accepted
-  // before the port was closed, so Done is reached in a later call than
-  // Draining.
-  else if (this->Phase == StopPhase::Draining && RunningRequests == 0)
+  // The front end closes the port only after it has been told of Draining, so
+  // Done is reached in a later call.
+  else if (this->Phase == StopPhase::Draining && !HasCallers)
     this->Phase = StopPhase::Done;
   return this->Phase;
 }
--- a/Source/Membership/StopSequence.h
+++ b/Source/Membership/StopSequence.h
@@ -4,25 +4,25 @@
 #include "Common/Time.h"
 #include "Membership/StopPhase.h"
 
-#include <cstddef>
-
 namespace acaciacross::membership {
 
 /// Decides when a stopping VM closes its caller port and when it may exit.
 class StopSequence {
 public:
   /// Starts the stop. From now on every acknowledgement must report "leaving".
-  /// Further calls have no effect.
-  void begin(common::MonotonicTime Now);
+  /// CloseBy: the latest time to close the port. Further calls have no effect.
+  void begin(common::MonotonicTime Now,
+             common::MonotonicTime CloseBy = common::MonotonicTime::max());
 
-  /// Moves to the next phase if the time and the number of running requests
-  /// allow it. Returns the current phase.
-  StopPhase advance(common::MonotonicTime Now, std::size_t RunningRequests);
+  /// Moves to the next phase if the time and the callers allow it. HasCallers:
+  /// whether the port or a connection of a caller is still open. Returns the
+  /// current phase.
+  StopPhase advance(common::MonotonicTime Now, bool HasCallers);
 
   StopPhase phase() const;
 
 private:
-  common::MonotonicTime StartedAt;
+  common::MonotonicTime ClosesAt;
   StopPhase Phase = StopPhase::Running;
 };
 
--- a/Source/Net/Sockets.cpp
+++ b/Source/Net/Sockets.cpp
@@ -3,8 +3,10 @@
 #include "Common/Error.h"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -88,6 +90,13 @@
   return Socket;
 }
 
+std::size_t unacknowledgedBytes(const Descriptor &Socket) {
+  int Count = 0;
+  if (::ioctl(Socket.get(), SIOCOUTQ, &Count) != 0)
+    return 0;
+  return static_cast<std::size_t>(Count);
+}
+
 int takeSocketError(const Descriptor &Socket) {
   int Error = 0;
   socklen_t Length = sizeof Error;
--- a/Source/Net/Sockets.h
+++ b/Source/Net/Sockets.h
@@ -4,6 +4,8 @@
 #include "Common/Address.h"
 #include "Net/Descriptor.h"
 
+#include <cstddef>
+
 namespace acaciacross::net {
 
 /// Opens a non-blocking listening socket. Throws common::Error (SocketFailed).
@@ -17,6 +19,9 @@
 /// not open when there is none.
 Descriptor acceptFrom(const Descriptor &Listening);
 
+/// Number of sent bytes that the peer has not acknowledged; 0 when unknown.
+std::size_t unacknowledgedBytes(const Descriptor &Socket);
+
 /// Returns and clears the pending error (errno value) of a socket; 0 for none.
 int takeSocketError(const Descriptor &Socket);
 
--- a/Source/Node/NodeController.cpp
+++ b/Source/Node/NodeController.cpp
@@ -12,8 +12,6 @@
 // Only the expiry of held entries and the phases of a stop depend on this
 // period.
 constexpr std::chrono::milliseconds TickPeriod{200};
-// An unfinished stop is ended this long before the process would be killed.
-constexpr std::chrono::milliseconds ExitMargin{400};
 
 fleet::FleetAgentSettings agentSettings(const NodeSettings &Settings,
                                         common::RandomSource &Random) {
@@ -37,7 +35,7 @@
                                logging::EventLog &Log, TrafficThread &Traffic,
                                std::function<void()> OnStopped)
     : Time(TimeSource), Log(Log), Traffic(Traffic),
-      OnStopped(std::move(OnStopped)), StopLimit(Settings.StopLimit),
+      OnStopped(std::move(OnStopped)), KillAfter(Settings.StopLimit),
       Random(common::SeededRandom::fromSystem()),
       Reactor([this] { this->publish(); }),
       Published(Encodings.items(), TimeSource, Log),
@@ -66,10 +64,11 @@
   this->Reactor.post([this] {
     if (this->StopSequence.phase() != membership::StopPhase::Running)
       return;
-    this->StopBeganAt = this->Time.monotonicNow();
-    this->StopSequence.begin(this->StopBeganAt);
+    const common::MonotonicTime Now = this->Time.monotonicNow();
+    this->StopSchedule = membership::StopSchedule::of(Now, this->KillAfter);
+    this->StopSequence.begin(Now, this->StopSchedule.AnswerBy);
     this->Agent.setState(membership::ServingState::Leaving);
-    this->Traffic.beginStop();
+    this->Traffic.beginStop(this->StopSchedule);
     this->Log.write(logging::LogRecord(common::LogEvent::ProcessStopping)
                         .number("active", static_cast<std::int64_t>(
                                               this->Traffic.activeRequests())));
@@ -201,13 +200,17 @@
   const common::MonotonicTime Now = this->Time.monotonicNow();
   const membership::StopPhase PreviousPhase = this->StopSequence.phase();
   const membership::StopPhase Phase =
-      this->StopSequence.advance(Now, this->Traffic.activeRequests());
+      this->StopSequence.advance(Now, !this->Traffic.hasFinishedCallers());
   if (Phase == membership::StopPhase::Draining && PreviousPhase != Phase)
-    this->Traffic.stopAcceptingCallers();
-  const bool IsLate = Now - this->StopBeganAt >= this->StopLimit - ExitMargin;
+    this->Traffic.finishCallers();
+  const bool IsLate = Now >= this->StopSchedule.ExitBy;
   if (Phase != membership::StopPhase::Done && !IsLate)
     return;
   this->IsStopReported = true;
+  this->Log.write(logging::LogRecord(common::LogEvent::CallersFinished)
+                      .flag("in_time", Phase == membership::StopPhase::Done)
+                      .number("active", static_cast<std::int64_t>(
+                                            this->Traffic.activeRequests())));
   this->OnStopped();
 }
 
--- a/Source/Node/NodeController.h
+++ b/Source/Node/NodeController.h
@@ -10,6 +10,7 @@
 #include "Discovery/StoreReadPolicy.h"
 #include "Fleet/FleetAgent.h"
 #include "Fleet/PublishedStateExchange.h"
+#include "Membership/StopSchedule.h"
 #include "Membership/StopSequence.h"
 #include "Net/BusyMeter.h"
 #include "Node/NodeEncodings.h"
@@ -78,7 +79,7 @@
   logging::EventLog &Log;
   TrafficThread &Traffic;
   std::function<void()> OnStopped;
-  std::chrono::milliseconds StopLimit;
+  std::chrono::milliseconds KillAfter;
   common::BootClock BootTime;
   common::SeededRandom Random;
   control::TaskReactor Reactor;
@@ -91,7 +92,7 @@
   discovery::StoreReadControl *ReadControl = nullptr;
   bool IsReading = true;
   membership::StopSequence StopSequence;
-  common::MonotonicTime StopBeganAt;
+  membership::StopSchedule StopSchedule;
   std::uint64_t PublishedChanges = 0;
   bool IsServing = false;
   bool IsStopReported = false;
--- a/Source/Node/TrafficThread.cpp
+++ b/Source/Node/TrafficThread.cpp
@@ -8,6 +8,7 @@
 
 // Share of the memory for incomplete responses of searchers: 1 in this many.
 constexpr std::size_t ResponseMemoryDivisor = 4;
+constexpr std::chrono::milliseconds FinishCheckPeriod{50};
 
 } // namespace
 
@@ -22,7 +23,7 @@
              {Settings.FailureDomain,
               Settings.MemoryBytes / ResponseMemoryDivisor}),
       Selector(this->Random, Settings.FailureDomain), Load(this->Sender),
-      Admission({&this->Reachability, &this->Load}),
+      Admission({&this->Stop, &this->Reachability, &this->Load}),
       Dependencies{TimeSource,     this->Registry, this->Sender,
                    this->Selector, this->Hedges,   this->PartialAnswers},
       Requests(this->Loop, this->Dependencies, this->Admission,
@@ -71,24 +72,40 @@
   });
 }
 
-void TrafficThread::beginStop() {
-  this->Loop.post([this] {
+void TrafficThread::beginStop(const membership::StopSchedule &Schedule) {
+  this->Loop.post([this, Schedule] {
     this->Stopping = true;
-    this->Requests.beginStop();
+    this->Stop.begin(Schedule.AdmitAllUntil, Schedule.AnswerBy);
+    this->Requests.beginStop(Schedule.AnswerBy);
   });
 }
 
-void TrafficThread::stopAcceptingCallers() {
+void TrafficThread::finishCallers() {
   this->Loop.post([this] {
-    this->CallerListener.stopAccepting();
-    this->CallerListener.closeIdle();
+    this->CallerListener.finish();
+    this->awaitCallers();
   });
 }
 
+// A process that exited when no request was in progress would lose what callers
+// have not read yet, and requests that arrive before the port is closed.
+void TrafficThread::awaitCallers() {
+  if (this->CallerListener.size() == 0) {
+    this->HasFinishedCallers = true;
+    return;
+  }
+  this->Loop.schedule(this->Loop.now() + FinishCheckPeriod,
+                      [this] { this->awaitCallers(); });
+}
+
 std::size_t TrafficThread::activeRequests() const {
   return this->Requests.active();
 }
 
+bool TrafficThread::hasFinishedCallers() const {
+  return this->HasFinishedCallers;
+}
+
 std::chrono::nanoseconds TrafficThread::idleTime() const {
   return this->Loop.idleTime();
 }
--- a/Source/Node/TrafficThread.h
+++ b/Source/Node/TrafficThread.h
@@ -10,11 +10,13 @@
 #include "Forwarding/LoadAdmission.h"
 #include "Forwarding/ReachabilityAdmission.h"
 #include "Forwarding/ServiceRegistry.h"
+#include "Forwarding/StopAdmission.h"
 #include "Forwarding/TailHedgePolicy.h"
 #include "Gateway/ForwardingHandler.h"
 #include "Gateway/Listener.h"
 #include "Gateway/PageHandler.h"
 #include "Gateway/UpstreamSender.h"
+#include "Membership/StopSchedule.h"
 #include "Node/MetricsSource.h"
 #include "Node/NodeEncodings.h"
 #include "Node/NodeSettings.h"
@@ -47,11 +49,14 @@
                     std::shared_ptr<const forwarding::RoutingTable> Table);
   void setFleet(fleet::FleetView View);
   /// From now on this VM is not ready and is not among the addresses given to
-  /// callers. Requests are still accepted.
-  void beginStop();
-  /// Refuses new connections of callers and closes their idle ones.
-  void stopAcceptingCallers();
+  /// callers. Requests are still accepted as far as the schedule allows.
+  void beginStop(const membership::StopSchedule &Schedule);
+  /// Refuses new connections of callers, and closes the others once their
+  /// requests are answered.
+  void finishCallers();
   std::size_t activeRequests() const;
+  /// Whether finishCallers has closed all connections of callers.
+  bool hasFinishedCallers() const;
   /// Total time since the start that the thread has spent waiting for events.
   std::chrono::nanoseconds idleTime() const;
 
@@ -59,6 +64,8 @@
   bool isReady() const override;
   std::vector<routing::AddressCandidate>
   addresses(std::size_t MaxCount, const std::string &CallerDomain) override;
+  /// Sets HasFinishedCallers once the last connection is closed.
+  void awaitCallers();
   /// Updates the service registry with this VM's share of the fleet.
   void updateFleetShare();
 
@@ -70,6 +77,7 @@
   forwarding::LeastDelaySelector Selector;
   forwarding::TailHedgePolicy Hedges;
   forwarding::LatencyTargetPartialAnswerPolicy PartialAnswers;
+  forwarding::StopAdmission Stop;
   forwarding::ReachabilityAdmission Reachability;
   forwarding::LoadAdmission Load;
   forwarding::AdmissionChain Admission;
@@ -88,6 +96,7 @@
   routing::EntryVmSelector VmSelector;
   fleet::FleetView Fleet;
   bool Stopping = false;
+  std::atomic<bool> HasFinishedCallers = false;
   std::thread Worker;
 };
 
--- a/Source/Programs/EntryNode/EntryNode.cpp
+++ b/Source/Programs/EntryNode/EntryNode.cpp
@@ -87,7 +87,7 @@
 void EntryNode::linger() {
   membership::StopSequence Sequence;
   Sequence.begin(this->Clock.monotonicNow());
-  while (Sequence.advance(this->Clock.monotonicNow(), 1) ==
+  while (Sequence.advance(this->Clock.monotonicNow(), true) ==
          membership::StopPhase::Lingering)
     std::this_thread::sleep_for(LingerCheckPeriod);
 }
--- a/Source/UnitTests/Membership/StopSequenceTest.cpp
+++ b/Source/UnitTests/Membership/StopSequenceTest.cpp
@@ -48,7 +48,7 @@
     Observer.Remotes.at(Address).State = ServingState::Leaving;
     Result Outcome;
     common::MonotonicTime ValidUntil = Observer.Now;
-    while (Stop.advance(Observer.Now, 0) == StopPhase::Lingering) {
+    while (Stop.advance(Observer.Now, false) == StopPhase::Lingering) {
       if (Random.below(200) == 0)
         Observer.pauseFor(milliseconds(Random.below(1500)));
       // Traffic threads answer from the last view even while the control thread
@@ -83,17 +83,30 @@
 }
 
 // An exit before the accepted requests are complete would interrupt them.
-TEST_F(StopSequenceTest,
-       RunningRequestsDelayTheEndOfTheStopAfterThePortIsClosed) {
+TEST_F(StopSequenceTest, OpenCallersDelayTheEndOfTheStopAfterThePortIsClosed) {
   const common::MonotonicTime Start{std::chrono::hours(1)};
   StopSequence Stop;
-  EXPECT_EQ(Stop.advance(Start, 0), StopPhase::Running);
+  EXPECT_EQ(Stop.advance(Start, false), StopPhase::Running);
   Stop.begin(Start);
-  EXPECT_EQ(Stop.advance(Start + milliseconds(4499), 0), StopPhase::Lingering);
-  EXPECT_EQ(Stop.advance(Start + milliseconds(4500), 0), StopPhase::Draining);
-  EXPECT_EQ(Stop.advance(Start + std::chrono::seconds(60), 1),
+  EXPECT_EQ(Stop.advance(Start + milliseconds(4499), false),
+            StopPhase::Lingering);
+  EXPECT_EQ(Stop.advance(Start + milliseconds(4500), false),
+            StopPhase::Draining);
+  EXPECT_EQ(Stop.advance(Start + std::chrono::seconds(60), true),
+            StopPhase::Draining);
+  EXPECT_EQ(Stop.advance(Start + std::chrono::seconds(61), false),
+            StopPhase::Done);
+}
+
+// A VM that is killed early must not accept callers until then.
+TEST_F(StopSequenceTest, PortIsClosedAtTheLatestTimeGiven) {
+  const common::MonotonicTime Start{std::chrono::hours(1)};
+  StopSequence Stop;
+  Stop.begin(Start, Start + milliseconds(2'000));
+  EXPECT_EQ(Stop.advance(Start + milliseconds(1'999), true),
+            StopPhase::Lingering);
+  EXPECT_EQ(Stop.advance(Start + milliseconds(2'000), true),
             StopPhase::Draining);
-  EXPECT_EQ(Stop.advance(Start + std::chrono::seconds(61), 0), StopPhase::Done);
 }
 
 } // namespace acaciacross::membership
--- a/Source/UnitTests/platform/NodePagesTest.cpp
+++ b/Source/UnitTests/platform/NodePagesTest.cpp
@@ -22,7 +22,8 @@
     return Caller.receive();
   };
   EXPECT_TRUE(contains(Readiness(), "200"));
-  this->Thread->beginStop();
+  this->Thread->beginStop(membership::StopSchedule::of(
+      this->Time.monotonicNow(), this->Settings.StopLimit));
   EXPECT_TRUE(contains(Readiness(), "503"));
   const std::string Answer = this->sendRequest("GET /safe/x");
   EXPECT_TRUE(contains(Answer, "200")) << Answer;
@@ -43,7 +44,8 @@
   EXPECT_TRUE(contains(Addresses(), "503"));
   this->publishConfiguration();
   EXPECT_TRUE(contains(Addresses(), this->Settings.CallerAddress.toString()));
-  this->Thread->beginStop();
+  this->Thread->beginStop(membership::StopSchedule::of(
+      this->Time.monotonicNow(), this->Settings.StopLimit));
   EXPECT_TRUE(contains(Addresses(), "503"));
 }
 
