Http: reject responses with a status code out of range

Cause: http-parser accepts status codes of one to three digits, and nothing after it checked the range.

Without the check MessageParserTest.ResponseWithAStatusOutOfRangeIsMalformed and NodeTrafficTest.AnswerWithAnInvalidStatusIsNotForwarded fail.

Change: ResponseParser takes a status outside 100 to 599 for a malformed message, so the attempt is lost and a repeatable request goes to another searcher.

--- a/Source/Http/MessageParser.cpp
+++ b/Source/Http/MessageParser.cpp
@@ -68,6 +68,8 @@
 
 ParseProblem MessageParser::problem() const { return this->Problem; }
 
+void MessageParser::reject() { this->Problem = ParseProblem::Malformed; }
+
 void MessageParser::appendTarget(std::string_view) {}
 
 MessageParser &MessageParser::fromParser(http_parser *RawParser) {
@@ -121,6 +123,8 @@
   RawParser->upgrade = 0;
   const bool MayHaveBody = Self.finishHead(*RawParser, std::move(Self.Fields));
   Self.Fields = HeaderList();
+  if (Self.Problem != ParseProblem::None)
+    return -1;
   return MayHaveBody ? 0 : 1;
 }
 
--- a/Source/Http/MessageParser.h
+++ b/Source/Http/MessageParser.h
@@ -44,6 +44,8 @@
 
   /// Appends a part of the request target; called for each part that is read.
   virtual void appendTarget(std::string_view Part);
+  /// Makes the current message malformed, for finishHead.
+  void reject();
   /// Called when the head is complete. Returns whether a body may follow.
   virtual bool finishHead(http_parser &RawParser, HeaderList Headers) = 0;
   /// The body of the current message, to which the parser appends.
--- a/Source/Http/ResponseParser.cpp
+++ b/Source/Http/ResponseParser.cpp
@@ -4,6 +4,14 @@
 
 namespace acaciacross::http {
 
+namespace {
+
+// RFC 9110, section 15.
+constexpr int MinStatus = 100;
+constexpr int MaxStatus = 599;
+
+} // namespace
+
 ResponseParser::ResponseParser(std::size_t MaxHeadBytes,
                                std::size_t MaxBodyBytes)
     : MessageParser(HTTP_RESPONSE, MaxHeadBytes, MaxBodyBytes) {}
@@ -22,7 +30,11 @@
 }
 
 bool ResponseParser::finishHead(http_parser &RawParser, HeaderList Headers) {
-  this->Message.Status = static_cast<int>(RawParser.status_code);
+  // http-parser also accepts status codes with fewer digits.
+  const auto Status = static_cast<int>(RawParser.status_code);
+  if (Status < MinStatus || Status > MaxStatus)
+    this->reject();
+  this->Message.Status = Status;
   this->Message.Headers = std::move(Headers);
   this->Message.KeepAlive = http_should_keep_alive(&RawParser) != 0;
   return this->ExpectsBody;
--- a/Source/UnitTests/Http/MessageParserTest.cpp
+++ b/Source/UnitTests/Http/MessageParserTest.cpp
@@ -74,6 +74,33 @@
   EXPECT_EQ(this->Responses.problem(), ParseProblem::Malformed);
 }
 
+// A status line that had lost a digit was passed on to the caller, which cannot
+// parse it.
+TEST_F(MessageParserTest, ResponseWithAStatusOutOfRangeIsMalformed) {
+  for (const std::string Status :
+       {"0", "2", "20", "99", "2 00", "600", "999", "1000", "-20", "2x0", ""}) {
+    ResponseParser Parser(1'024, 64);
+    Parser.feed("HTTP/1.1 " + Status + " OK\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_FALSE(Parser.isComplete() && Parser.problem() == ParseProblem::None)
+        << Status;
+    EXPECT_EQ(Parser.problem(), ParseProblem::Malformed) << Status;
+  }
+}
+
+// A searcher that closed in the middle of its head led to an empty answer that
+// looked complete.
+TEST_F(MessageParserTest, ResponseThatEndsInItsHeadIsMalformed) {
+  const std::string Head = "HTTP/1.1 200 OK\r\nX-Server-Stamp: t\r\n"
+                           "X-Request-Id: r1\r\n\r\n";
+  for (std::size_t Size = 1; Size < Head.size(); ++Size) {
+    ResponseParser Parser(1'024, 64);
+    Parser.feed(Head.substr(0, Size));
+    Parser.end();
+    EXPECT_FALSE(Parser.isComplete()) << Size;
+    EXPECT_EQ(Parser.problem(), ParseProblem::Malformed) << Size;
+  }
+}
+
 // Its length field describes a body that is not sent; waiting for it would end
 // in a timeout.
 TEST_F(MessageParserTest, ResponseToHeadHasNoBody) {
--- a/Source/UnitTests/platform/NodeTrafficTest.cpp
+++ b/Source/UnitTests/platform/NodeTrafficTest.cpp
@@ -1,5 +1,7 @@
 #include "NodeTrafficFixture.h"
 
+#include <array>
+
 namespace acaciacross::adapter {
 
 using std::chrono::milliseconds;
@@ -108,6 +110,20 @@
   EXPECT_TRUE(contains(this->sendRequest("POST /plain/x", "b"), "502"));
 }
 
+// A status line without a valid status code was written to the caller as it was.
+TEST_F(NodeTrafficTest, AnswerWithAnInvalidStatusIsNotForwarded) {
+  static constexpr std::array<const char *, 4> Statuses{"20", "2 00", "0",
+                                                        "999"};
+  this->addSearcher("p", [](std::size_t Index, const std::string &) {
+    return "HTTP/1.1 " + std::string(Statuses.at(Index % Statuses.size())) +
+           " OK\r\nX-Request-Id: r1\r\nX-Server-Stamp: t\r\n"
+           "Content-Length: 3\r\n\r\nbad";
+  });
+  this->publishConfiguration();
+  for (std::size_t I = 0; I < Statuses.size(); ++I)
+    EXPECT_TRUE(contains(this->sendRequest("POST /plain/x", "b"), "502"));
+}
+
 // A searcher must not continue to work for a caller that has disconnected.
 TEST_F(NodeTrafficTest, DisconnectedCallerClosesConnectionToSearcher) {
   Upstream &Searcher =
