Http: reject messages with invalid header fields

Cause: http-parser accepts field names with blanks and control characters in values, in requests and responses. They were passed on; the next parser may read such a field in another way, or reject the whole message.

Change: MessageParser takes a field for malformed whose name is no token or whose value has control characters other than tabs.

Result: MessageParserTest.MessageWithAnInvalidFieldIsMalformed fails without the check; .UnusualButValidFieldsAreKept guards against rejecting too much.

--- a/Source/Http/HeaderList.cpp
+++ b/Source/Http/HeaderList.cpp
@@ -29,6 +29,14 @@
              : Character;
 }
 
+bool isTokenCharacter(char Character) {
+  constexpr std::string_view Special = "!#$%&'*+-.^_`|~";
+  return (Character >= 'A' && Character <= 'Z') ||
+         (Character >= 'a' && Character <= 'z') ||
+         (Character >= '0' && Character <= '9') ||
+         Special.find(Character) != std::string_view::npos;
+}
+
 /// Whether a comma-separated list of names contains Name.
 bool listContains(std::string_view List, std::string_view Name) {
   while (!List.empty()) {
@@ -81,6 +89,14 @@
 
 const std::vector<Header> &HeaderList::fields() const { return this->Fields; }
 
+bool HeaderList::isValidField(std::string_view Name, std::string_view Value) {
+  return !Name.empty() && std::ranges::all_of(Name, isTokenCharacter) &&
+         std::ranges::none_of(Value, [](char Character) {
+           const auto Byte = static_cast<unsigned char>(Character);
+           return (Byte < 0x20 && Byte != '\t') || Byte == 0x7f;
+         });
+}
+
 bool HeaderList::equalNames(std::string_view Left, std::string_view Right) {
   return std::ranges::equal(Left, Right, [](char First, char Second) {
     return toLower(First) == toLower(Second);
--- a/Source/Http/HeaderList.h
+++ b/Source/Http/HeaderList.h
@@ -23,6 +23,9 @@
 
   const std::vector<Header> &fields() const;
 
+  /// Whether a field has the syntax of RFC 9110: a token as its name, and no
+  /// control characters but tabs in its value.
+  static bool isValidField(std::string_view Name, std::string_view Value);
   /// Compares two field names case-insensitively.
   static bool equalNames(std::string_view Left, std::string_view Right);
 
--- a/Source/Http/MessageParser.cpp
+++ b/Source/Http/MessageParser.cpp
@@ -156,8 +156,11 @@
   return -1;
 }
 
-// Trailer fields arrive after the head and are dropped.
+// Trailer fields arrive after the head and are dropped. http-parser accepts
+// names with blanks, which other parsers read in another way or not at all.
 void MessageParser::finishField() {
+  if (!HeaderList::isValidField(this->FieldName, this->FieldValue))
+    this->reject();
   if (!this->HeadComplete)
     this->Fields.add(std::move(this->FieldName), std::move(this->FieldValue));
   this->FieldName.clear();
--- a/Source/UnitTests/Http/MessageParserTest.cpp
+++ b/Source/UnitTests/Http/MessageParserTest.cpp
@@ -101,6 +101,29 @@
   }
 }
 
+// Fields that are no fields were passed on, and the next parser may read them
+// in another way or reject the whole message.
+TEST_F(MessageParserTest, MessageWithAnInvalidFieldIsMalformed) {
+  for (const std::string Field :
+       {"X Name: 1", "X-Name : 1", "X-Name: a\x01z", "X-Name: a\x7fz"}) {
+    ResponseParser Responses(1'024, 64);
+    Responses.feed("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + Field +
+                   "\r\n\r\n");
+    EXPECT_EQ(Responses.problem(), ParseProblem::Malformed) << Field;
+    RequestParser Requests(1'024, 64);
+    Requests.feed("GET / HTTP/1.1\r\nHost: h\r\n" + Field + "\r\n\r\n");
+    EXPECT_EQ(Requests.problem(), ParseProblem::Malformed) << Field;
+  }
+}
+
+TEST_F(MessageParserTest, UnusualButValidFieldsAreKept) {
+  this->Responses.feed(
+      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+      "x!#$%&'*+-.^_`|~9: \"\xc3\xa9\"\ta\r\nX-Empty:\r\n\r\n");
+  ASSERT_TRUE(this->Responses.isComplete());
+  EXPECT_EQ(this->Responses.take().Headers.fields().size(), 3U);
+}
+
 // Its length field describes a body that is not sent; waiting for it would end
 // in a timeout.
 TEST_F(MessageParserTest, ResponseToHeadHasNoBody) {
