Gateway: a reset while the request is being sent completes no response

Cause: the event of a reset also says "writable" while a part of the request waits to be sent. The failed send took the error from the socket; recv then returned 0, like after an orderly end, which completes a response without a length.

Without the change UpstreamConnectionTest.ResponseWithoutLengthThatIsResetIsLost fails.

Change: UpstreamConnection remembers that sending has failed; the end of such a connection completes nothing. A response that is complete by itself is still used.

--- a/Source/Gateway/UpstreamConnection.cpp
+++ b/Source/Gateway/UpstreamConnection.cpp
@@ -115,7 +115,8 @@
     this->parse({Buffer.data(), static_cast<std::size_t>(Count)});
     return;
   }
-  this->Parser.end();
+  if (!this->HasFailed)
+    this->Parser.end();
   if (this->Parser.isComplete() && !this->Parser.isInterim()) {
     this->Busy = false;
     if (this->Listener.onResponse(*this, this->Parser.take(), false))
@@ -160,9 +161,11 @@
 void UpstreamConnection::write(std::string_view Bytes) {
   const ssize_t Count =
       ::send(this->Socket.get(), Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
-  // The error is also reported as an event. A response that arrived before the
-  // error can then still be read.
+  // A response that arrived before the error can still be read. The error
+  // itself is reported only once: after it, recv returns 0 like after an
+  // orderly end.
   if (Count < 0 && errno != EAGAIN && errno != EINTR) {
+    this->HasFailed = true;
     this->Output.clear();
     this->watch(EPOLLIN | EPOLLRDHUP);
     return;
--- a/Source/Gateway/UpstreamConnection.h
+++ b/Source/Gateway/UpstreamConnection.h
@@ -56,6 +56,9 @@
   bool Answered = false;
   /// Messages since the last request that did not answer it.
   unsigned IgnoredCount = 0;
+  /// Whether sending has failed, so that the end of the connection does not
+  /// complete a response.
+  bool HasFailed = false;
   std::uint32_t Interest = 0;
   std::optional<net::TimerId> ConnectTimer;
 };
