Discovery: a stale list brings no removed entry back

Cause: the starting VM got the complete list of a peer and then its own stale first page. A complete list names no removed keys, so the older entry was taken for new; the known revision stayed at the peer's, so the removal never came again.

Without the check PublishedStateTest.StaleSnapshotDoesNotRestoreAnEntryRemovedBefore and .LateChangeDoesNotRestoreAnEntryRemovedBefore fail.

Change: PublishedState keeps the revision up to which it knows all items; an entry of an unknown key that is not newer was removed since and is ignored.

--- a/Source/Discovery/PublishedState.cpp
+++ b/Source/Discovery/PublishedState.cpp
@@ -36,6 +36,7 @@
   for (const std::string &Key : Missing)
     this->applyRemoval(Key, Revision);
   this->KnownRevision = std::max(this->KnownRevision, Revision);
+  this->CompleteUpTo = std::max(this->CompleteUpTo, Revision);
   // Removals before this revision of keys that were never known here are
   // unknown, so a peer at an older revision needs all items instead of the
   // changes.
@@ -52,6 +53,8 @@
     else
       this->applyItem(Change.Item);
   }
+  if (this->HasSnapshot)
+    this->CompleteUpTo = std::max(this->CompleteUpTo, Revision);
 }
 
 void PublishedState::onAnswered() {}
@@ -150,12 +153,15 @@
 bool PublishedState::hasSnapshot() const { return this->HasSnapshot; }
 
 // Changes come from the store and from peers, so an older change can arrive
-// after a newer one. It must not restore a removed entry.
+// after a newer one. It must not restore a removed entry. The removal itself
+// may be unknown: a complete list does not name removed keys.
 bool PublishedState::isNewer(const std::string &Key,
                              std::uint64_t Revision) const {
   const auto Known = this->LatestChanges.find(Key);
-  return Known == this->LatestChanges.end() ||
-         Known->second.Item.Revision < Revision;
+  const std::uint64_t KnownUpTo = Known == this->LatestChanges.end()
+                                      ? this->CompleteUpTo
+                                      : Known->second.Item.Revision;
+  return KnownUpTo < Revision;
 }
 
 void PublishedState::recordChange(StoreChange Change) {
--- a/Source/Discovery/PublishedState.h
+++ b/Source/Discovery/PublishedState.h
@@ -93,6 +93,8 @@
   /// The problems of malformed values by key, as logged.
   std::map<std::string, std::string> Problems;
   std::uint64_t KnownRevision = 0;
+  /// All items of the store at this revision are known, and no others.
+  std::uint64_t CompleteUpTo = 0;
   /// Removals up to this revision may be unknown.
   std::uint64_t RemovalsUnknownUpTo = 0;
   std::optional<common::MonotonicTime> UnavailableSince;
--- a/Source/UnitTests/Discovery/PublishedStateTest.cpp
+++ b/Source/UnitTests/Discovery/PublishedStateTest.cpp
@@ -72,6 +72,34 @@
   EXPECT_EQ(this->State.table()->version(), 7U);
 }
 
+// A VM that starts takes a complete list from a peer, and then its own stale
+// first read of the store, in which a removed searcher is still present.
+TEST_F(PublishedStateTest, StaleSnapshotDoesNotRestoreAnEntryRemovedBefore) {
+  this->State.onSnapshot({{"a", "searcher", 3}}, 9);
+  this->State.onSnapshot({{"a", "searcher", 3}, {"b", "searcher", 4}}, 5);
+  EXPECT_EQ(this->searcherCount(), 1U);
+  EXPECT_EQ(this->State.revision(), 9U);
+  this->State.onSnapshot({{"a", "searcher", 3}, {"c", "searcher", 10}}, 10);
+  EXPECT_EQ(this->searcherCount(), 2U);
+}
+
+// The record of a removal may be pruned before a late change arrives.
+TEST_F(PublishedStateTest, LateChangeDoesNotRestoreAnEntryRemovedBefore) {
+  this->State.onSnapshot({{"a", "searcher", 3}}, 9);
+  this->State.onChanges({{{"b", "searcher", 8}, false}}, 8);
+  EXPECT_EQ(this->searcherCount(), 1U);
+  this->State.onChanges(
+      {{{"b", "searcher", 10}, false}, {{"c", "searcher", 11}, false}}, 11);
+  EXPECT_EQ(this->searcherCount(), 3U);
+}
+
+// Without a complete list, an unknown key may be one that was never received.
+TEST_F(PublishedStateTest, ChangesBeforeTheFirstSnapshotDoNotHideItsEntries) {
+  this->State.onChanges({{{"a", "searcher", 7}, false}}, 7);
+  this->State.onSnapshot({{"a", "searcher", 7}, {"b", "searcher", 2}}, 7);
+  EXPECT_EQ(this->searcherCount(), 2U);
+}
+
 // While the store is available a removed searcher must not be retained.
 TEST_F(PublishedStateTest, RemovedEntryIsDroppedAtOnce) {
   this->change("a", "searcher");
