Forwarding: hold no more of a part than the answer needs

Cause: complete parts of a query are held until the last one arrives.

Change: a part with many more records than the answer is reduced to those that can be in the answer as soon as it arrives.

The memory of a process was not measured.

--- a/Source/Forwarding/GatherExecution.cpp
+++ b/Source/Forwarding/GatherExecution.cpp
@@ -24,6 +24,16 @@
     this->addSubRequest(Shard, true);
 }
 
+// Parts are held until the last one arrives, and hundreds of large ones would
+// not fit into the memory of a VM. No more records of a part than those of the
+// answer can be in the answer.
+void GatherExecution::onAttemptEnded(AttemptNumber Attempt,
+                                     AttemptResult Result) {
+  TopRecords::reduce(Result.Response.Body,
+                     this->request().Target->Gather->TopRecords);
+  Execution::onAttemptEnded(Attempt, std::move(Result));
+}
+
 std::optional<Answer> GatherExecution::decide(bool IsDeadlinePassed) {
   std::size_t AnsweredCount = 0;
   std::size_t OpenCount = 0;
--- a/Source/Forwarding/GatherExecution.h
+++ b/Source/Forwarding/GatherExecution.h
@@ -14,6 +14,8 @@
                   std::shared_ptr<const ForwardRequest> Request,
                   AnswerSink &Sink);
 
+  void onAttemptEnded(AttemptNumber Attempt, AttemptResult Result) override;
+
 private:
   std::optional<Answer> decide(bool IsDeadlinePassed) override;
   std::optional<common::MonotonicTime> nextDecisionAt() const override;
--- a/Source/Forwarding/TopRecords.cpp
+++ b/Source/Forwarding/TopRecords.cpp
@@ -5,6 +5,13 @@
 
 namespace acaciacross::forwarding {
 
+namespace {
+
+// Reducing a smaller part costs more than its memory is worth.
+constexpr std::size_t MaxHeldFactor = 2;
+
+} // namespace
+
 std::string TopRecords::merge(const std::vector<std::string_view> &Parts,
                               std::size_t Count) {
   std::vector<std::string_view> Records;
@@ -22,4 +29,9 @@
   return Merged;
 }
 
+void TopRecords::reduce(std::string &Part, std::size_t Count) {
+  if (Part.capacity() / RecordBytes > MaxHeldFactor * Count)
+    Part = merge({Part}, Count);
+}
+
 } // namespace acaciacross::forwarding
--- a/Source/Forwarding/TopRecords.h
+++ b/Source/Forwarding/TopRecords.h
@@ -18,6 +18,10 @@
   /// ignored.
   static std::string merge(const std::vector<std::string_view> &Parts,
                            std::size_t Count);
+
+  /// Reduces a part to its Count greatest records if it holds the memory of
+  /// many more.
+  static void reduce(std::string &Part, std::size_t Count);
 };
 
 } // namespace acaciacross::forwarding
--- a/Source/UnitTests/Forwarding/GatherExecutionTest.cpp
+++ b/Source/UnitTests/Forwarding/GatherExecutionTest.cpp
@@ -37,6 +37,18 @@
   EXPECT_EQ(this->Result->Stamps.size(), 2U);
 }
 
+TEST_F(GatherExecutionTest, LargePartGivesItsGreatestRecords) {
+  this->start(2, 1.0);
+  std::string Part;
+  for (int I = 0; I < 10'000; ++I)
+    Part += record(static_cast<char>('a' + I % 5));
+  this->Sender.answer(0, Part + record('z'));
+  this->Sender.answer(1, record('y'));
+  ASSERT_TRUE(this->Result);
+  EXPECT_EQ(this->Result->Message.Body,
+            record('z') + record('y') + record('e'));
+}
+
 // A failure must not be merged into the answer, even if it is stamped.
 TEST_F(GatherExecutionTest, StampedFailureIsNotMerged) {
   this->start(2, 0.5, 1);
