UnitTests: answers that are cut in their head, on both front ends

Report of another operator: a searcher stopped in the middle of its answer's head and closed, and callers got an empty 200. Here http-parser reports the early end. libcurl reports such a response as a success without a body, which the product's own interface rejects because the body is no answer.

Result: NodeTrafficTest.AnswerThatIsCutInItsHeadIsNotForwarded and CurlAttemptSenderTest.AnswerThatIsCutAnywhereIsLost play every length. They passed without a change of the product.

--- a/Source/UnitTests/Traffic/CurlAttemptSenderTest.cpp
+++ b/Source/UnitTests/Traffic/CurlAttemptSenderTest.cpp
@@ -77,6 +77,19 @@
   EXPECT_EQ(Upstream.requests().size(), 2U);
 }
 
+// libcurl reports a response that ends in its head as a success without a body.
+TEST_F(CurlAttemptSenderTest, AnswerThatIsCutAnywhereIsLost) {
+  const std::size_t Size = makeAnswer(0).size();
+  RawUpstream Upstream([](std::size_t Number, const std::string &) {
+    return makeAnswer(Number).substr(0, Number + 1) +
+           std::string(RawUpstream::CloseMark);
+  });
+  for (std::size_t Number = 0; Number + 1 < Size; ++Number)
+    EXPECT_EQ(this->run(this->makeSpec(Upstream.endpoint())).Status,
+              AttemptStatus::Lost)
+        << Number + 1 << " bytes";
+}
+
 // An empty body needs no rewinding, so the missing seek callback alone does not
 // keep libcurl from repeating the request.
 TEST_F(CurlAttemptSenderTest,
--- a/Source/UnitTests/Traffic/RawUpstream.cpp
+++ b/Source/UnitTests/Traffic/RawUpstream.cpp
@@ -99,10 +99,13 @@
       Number = this->Received.size();
       this->Received.push_back(Request);
     }
-    const std::string Text = this->Respond(Number, Request);
-    if (Text.empty())
-      break;
+    std::string Text = this->Respond(Number, Request);
+    const bool IsLast = Text.empty() || Text.ends_with(CloseMark);
+    if (Text.ends_with(CloseMark))
+      Text.resize(Text.size() - CloseMark.size());
     ::send(Connection, Text.data(), Text.size(), MSG_NOSIGNAL);
+    if (IsLast)
+      break;
     Request.clear();
   }
   --this->Open;
--- a/Source/UnitTests/Traffic/RawUpstream.h
+++ b/Source/UnitTests/Traffic/RawUpstream.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -14,13 +15,15 @@
 
 /// TCP server on the loopback address that reads complete requests and sends
 /// the text that Respond returns for each; an empty text closes the
-/// connection instead.
+/// connection instead, and one that ends with CloseMark does so after the text.
 class RawUpstream {
 public:
   /// Called with the number of the request, from 0, and its bytes.
   using Responder =
       std::function<std::string(std::size_t, const std::string &)>;
 
+  static constexpr std::string_view CloseMark = "<close>";
+
   explicit RawUpstream(Responder Respond);
   ~RawUpstream();
 
--- a/Source/UnitTests/platform/NodeTrafficTest.cpp
+++ b/Source/UnitTests/platform/NodeTrafficTest.cpp
@@ -110,7 +110,24 @@
   EXPECT_TRUE(contains(this->sendRequest("POST /plain/x", "b"), "502"));
 }
 
-// A status line without a valid status code was written to the caller as it was.
+// A searcher that closed in the middle of its head led to an empty answer that
+// looked complete.
+TEST_F(NodeTrafficTest, AnswerThatIsCutInItsHeadIsNotForwarded) {
+  const std::string Head = "HTTP/1.1 200 OK\r\nX-Server-Stamp: t\r\n"
+                           "X-Request-Id: r1\r\n\r\n";
+  this->addSearcher("p", [&Head](std::size_t Index, const std::string &) {
+    return Head.substr(0, Index + 1) + std::string(Upstream::CloseMark);
+  });
+  this->publishConfiguration();
+  for (std::size_t Size = 1; Size < Head.size(); ++Size) {
+    const std::string Answer = this->sendRequest("POST /plain/x", "b");
+    EXPECT_TRUE(contains(Answer, " 502 ") || contains(Answer, " 503 "))
+        << Size << " bytes: " << Answer;
+  }
+}
+
+// A status line without a valid status code was written to the caller as it
+// was.
 TEST_F(NodeTrafficTest, AnswerWithAnInvalidStatusIsNotForwarded) {
   static constexpr std::array<const char *, 4> Statuses{"20", "2 00", "0",
                                                         "999"};
