--- a/Source/Gateway/ServerConnection.cpp
+++ b/Source/Gateway/ServerConnection.cpp
@@ -224,7 +224,7 @@
 }
 
 void ServerConnection::watch() {
-  std::uint32_t Wanted = this->HasInputEnded ? 0 : EPOLLRDHUP;
+  std::uint32_t Wanted = this->HasInputEnded ? 0U : std::uint32_t{EPOLLRDHUP};
   if (this->Input.size() < MaxBufferedBytes && !this->HasInputEnded)
     Wanted |= EPOLLIN;
   if (!this->Output.empty())
