Discovery: read everything at once after lost history, which is no answer

Cause: the answer "history lost" tells no changes, but was reported to all VMs as an answer of the store, so that none of them began to read. The complete read that has to follow was left to the next call, which a VM whose reading time was over meanwhile did not make.

On the code before, StoreFollowerTest.LostHistoryAloneIsNoAnswer fails, and so do .AllItemsAreReadAgainAtOnceAfterLostHistory and .OnlyTheFirstReadMayBeStale, which now expect the read in the same step instead of in the next call without a delay.

Change: StoreFollower reads everything in the same step; only an answer with content counts.

--- a/Source/Discovery/StoreFollower.cpp
+++ b/Source/Discovery/StoreFollower.cpp
@@ -79,12 +79,15 @@
   StoreChanges Answer = Store.awaitChanges(*this->KnownRevision, Wait);
   if (Answer.Status == StoreStatus::Unavailable)
     return this->onFailure(Answer.Problem);
-  this->onSuccess(ReadConsistency::Current);
+  // This answer tells no changes. Reported as one, it would keep all other VMs
+  // from reading, so everything is read now, even if this VM was to read no
+  // longer.
   if (Answer.Status == StoreStatus::HistoryLost) {
     this->KnownRevision.reset();
     this->Listener.onHistoryLost();
-    return std::chrono::milliseconds(0);
+    return this->readAll(Store);
   }
+  this->onSuccess(ReadConsistency::Current);
   this->KnownRevision = std::max(*this->KnownRevision, Answer.Revision);
   if (Answer.Changes.empty())
     return std::chrono::milliseconds(0);
