Gateway: split UpstreamSender

Change: AttemptRecorder updates records, statistics and counters, ConnectionWaiters keeps the listeners that await a connection, NoticeLog writes what searchers say of themselves; UpstreamSender keeps attempts and connections. No change of behaviour.

--- a/Source/Gateway/UpstreamSender.cpp
+++ b/Source/Gateway/UpstreamSender.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace acaciacross::gateway {
 
@@ -15,14 +16,6 @@
 // How long a searcher may take to finish an abandoned attempt. A connection
 // that is silent for longer is closed.
 constexpr std::chrono::milliseconds LingerLimit{1'000};
-// An abandoned attempt that took this many times the typical latency counts as
-// a sign that its searcher is slow or silent.
-constexpr int OverdueFactor = 4;
-
-std::chrono::nanoseconds typicalLatency(const UpstreamAttempt &Attempt) {
-  return Attempt.Statistics->typical(Attempt.Request->Target->LatencyTarget);
-}
-
 bool isAtMostOnce(const UpstreamAttempt &Attempt) {
   return Attempt.Request->Target->Repeat ==
          forwarding::Repeatability::AtMostOnce;
@@ -36,8 +29,8 @@
                                logging::EventLog &Log,
                                UpstreamSenderSettings Settings)
     : Loop(Loop), Registry(Registry), Protocol(Protocol), Log(Log),
-      Settings(std::move(Settings)),
-      ResponseBuffers(this->Settings.MaxResponseBytes) {}
+      Recorder(std::move(Settings.FailureDomain)), Notices(Log),
+      ResponseBuffers(Settings.MaxResponseBytes) {}
 
 UpstreamSender::~UpstreamSender() {
   for (auto &[Number, Attempt] : this->Attempts)
@@ -104,27 +97,23 @@
     return;
   }
   const UpstreamAttempt Ended = this->removeAttempt(Found);
-  this->recordOverdue(Ended);
+  AttemptRecorder::recordOverdue(Ended, this->Loop.now());
   this->closeConnection(Ended);
   this->notifyConnectionAvailable(Ended.Replica->entry().Service);
 }
 
 void UpstreamSender::awaitConnection(const common::ServiceName &Service,
                                      forwarding::AttemptListener &Listener) {
-  this->Waiting[Service].push_back(&Listener);
+  this->Waiters.add(Service, Listener);
 }
 
 std::size_t
 UpstreamSender::waitingCount(const common::ServiceName &Service) const {
-  const auto Found = this->Waiting.find(Service);
-  return Found == this->Waiting.end() ? 0 : Found->second.size();
+  return this->Waiters.count(Service);
 }
 
 void UpstreamSender::cancelAwait(forwarding::AttemptListener &Listener) {
-  for (auto &[Service, Queue] : this->Waiting)
-    std::erase(Queue, &Listener);
-  std::erase_if(this->Waiting,
-                [](const auto &Entry) { return Entry.second.empty(); });
+  this->Waiters.remove(Listener);
 }
 
 void UpstreamSender::closeUnlisted() {
@@ -159,7 +148,7 @@
 }
 
 const DomainTraffic &UpstreamSender::domainTraffic() const {
-  return this->TrafficByDomain;
+  return this->Recorder.domainTraffic();
 }
 
 std::size_t UpstreamSender::connections() const {
@@ -196,7 +185,7 @@
   if (Metadata.RequestId && *Metadata.RequestId != It->second.Request->Id.Value)
     return false;
   const UpstreamAttempt Attempt = this->removeAttempt(It);
-  this->recordResponse(Attempt, Metadata, Response);
+  this->Recorder.recordResponse(Attempt, Metadata, Response, this->Loop.now());
   const common::SearcherId &Searcher = Attempt.Replica->entry().Id;
   const auto Pool = this->Pools.find(Searcher);
   if (MayReuse && !Metadata.IsFromOtherSearcher &&
@@ -293,11 +282,6 @@
       .first->second;
 }
 
-bool UpstreamSender::isInOwnDomain(
-    const forwarding::ReplicaRecord &Replica) const {
-  return Replica.entry().FailureDomain == this->Settings.FailureDomain;
-}
-
 void UpstreamSender::send(const UpstreamAttempt &Attempt) {
   const auto TimeLeft =
       std::max(std::chrono::milliseconds(1),
@@ -305,8 +289,7 @@
                    Attempt.Deadline - this->Loop.now()));
   const std::string Bytes = this->Protocol.encode(
       *Attempt.Request, Attempt.Replica->entry(), TimeLeft);
-  this->TrafficByDomain.recordSent(this->isInOwnDomain(*Attempt.Replica),
-                                   Bytes.size());
+  this->Recorder.recordSent(Attempt, Bytes.size());
   Attempt.Connection->send(Bytes, Attempt.Request->Message.Method != "HEAD");
 }
 
@@ -332,71 +315,12 @@
                                   const forwarding::SearcherNotice &Notice) {
   if (!this->Registry.recordNotice(*Attempt.Replica, Notice, this->Loop.now()))
     return;
-  const forwarding::SearcherEntry &Searcher = Attempt.Replica->entry();
-  const auto Write = [&](common::LogEvent Event, auto AddDetails) {
-    logging::LogRecord Line(Event);
-    Line.text("searcher", Searcher.Id.Value)
-        .text("service", Searcher.Service.Value)
-        .text("request", Attempt.Request->Id.Value);
-    AddDetails(Line);
-    this->Log.write(Line);
-  };
-  if (Notice.IsLeaving)
-    Write(common::LogEvent::SearcherLeaving, [](logging::LogRecord &) {});
-  if (Notice.Pause)
-    Write(common::LogEvent::SearcherPaused, [&](logging::LogRecord &Line) {
-      Line.milliseconds("pause_ms", *Notice.Pause);
-    });
-  if (!Notice.InvalidPause.empty())
-    Write(common::LogEvent::ResponseHeaderInvalid,
-          [&](logging::LogRecord &Line) {
-            Line.text("field", "requested pause")
-                .text("value", Notice.InvalidPause)
-                .text("allowed", "a number of seconds above 0");
-          });
-  const auto Pool = this->Pools.find(Searcher.Id);
+  this->Notices.write(Attempt, Notice);
+  const auto Pool = this->Pools.find(Attempt.Replica->entry().Id);
   if (Notice.IsLeaving && Pool != this->Pools.end())
     Pool->second.closeIdle();
 }
 
-void UpstreamSender::recordResponse(const UpstreamAttempt &Attempt,
-                                    const ResponseMetadata &Metadata,
-                                    const http::Response &Response) {
-  const common::MonotonicTime Now = this->Loop.now();
-  forwarding::ReplicaRecord &Replica = *Attempt.Replica;
-  this->TrafficByDomain.recordReceived(this->isInOwnDomain(Replica),
-                                       Response.Body.size());
-  if (Metadata.Load)
-    Replica.onLoadReported(Now, *Metadata.Load);
-  if (Metadata.IsFromOtherSearcher) {
-    Replica.onUnreachable(Now);
-    return;
-  }
-  if (Metadata.IsNotRun) {
-    Replica.onBusy(Now);
-    return;
-  }
-  const bool IsSuccess = !Metadata.Stamp.empty() &&
-                         !Metadata.HasContentCoding && Response.Status < 500;
-  if (!IsSuccess) {
-    Replica.onFailed(Now);
-    return;
-  }
-  const auto Latency = Now - Attempt.StartedAt;
-  Replica.onAnswered(Now, Latency, typicalLatency(Attempt));
-  Attempt.Statistics->add(Latency);
-}
-
-void UpstreamSender::recordOverdue(const UpstreamAttempt &Attempt) {
-  const common::MonotonicTime Now = this->Loop.now();
-  const auto Age = Now - Attempt.StartedAt;
-  const auto Typical = typicalLatency(Attempt);
-  if (Age < OverdueFactor * Typical)
-    return;
-  Attempt.Replica->onAnswered(Now, Age, Typical);
-  Attempt.Replica->onFailed(Now);
-}
-
 void UpstreamSender::closeConnection(const UpstreamAttempt &Attempt) {
   const auto Pool = this->Pools.find(Attempt.Replica->entry().Id);
   if (Pool != this->Pools.end())
@@ -419,7 +343,7 @@
 // while the caller of this function is still handling another one.
 void UpstreamSender::notifyConnectionAvailable(
     const common::ServiceName &Service) {
-  if (!this->Waiting.contains(Service))
+  if (this->Waiters.count(Service) == 0)
     return;
   this->Loop.schedule(this->Loop.now(),
                       [this, Service] { this->notifyWaiting(Service); });
@@ -429,19 +353,13 @@
 // because no searcher of the service may be asked any more. Nothing would
 // notify those behind it.
 void UpstreamSender::notifyWaiting(const common::ServiceName &Service) {
-  while (true) {
-    const auto Found = this->Waiting.find(Service);
-    if (Found == this->Waiting.end())
-      return;
-    forwarding::AttemptListener *First = Found->second.front();
-    Found->second.pop_front();
-    const std::size_t LeftCount = Found->second.size();
-    if (LeftCount == 0)
-      this->Waiting.erase(Found);
+  while (forwarding::AttemptListener *First =
+             this->Waiters.takeFirst(Service)) {
+    const std::size_t LeftCount = this->Waiters.count(Service);
     const std::uint64_t NumberBefore = this->NextNumber;
     First->onConnectionAvailable(Service);
     if (this->NextNumber != NumberBefore ||
-        this->waitingCount(Service) > LeftCount)
+        this->Waiters.count(Service) > LeftCount)
       return;
   }
 }
--- a/Source/Gateway/UpstreamSender.h
+++ b/Source/Gateway/UpstreamSender.h
@@ -3,8 +3,10 @@
 
 #include "Forwarding/AttemptSender.h"
 #include "Forwarding/ServiceRegistry.h"
+#include "Gateway/AttemptRecorder.h"
 #include "Gateway/ConnectionPool.h"
-#include "Gateway/DomainTraffic.h"
+#include "Gateway/ConnectionWaiters.h"
+#include "Gateway/NoticeLog.h"
 #include "Gateway/ResponseBufferBudget.h"
 #include "Gateway/SearcherProtocol.h"
 #include "Gateway/UpstreamAttempt.h"
@@ -14,7 +16,6 @@
 #include "Net/EventLoop.h"
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
 #include <unordered_map>
@@ -73,7 +74,6 @@
   /// Whether this VM keeps connections that no attempt uses.
   bool keepsConnections() const;
   ConnectionPool &poolOf(const forwarding::SearcherEntry &Searcher);
-  bool isInOwnDomain(const forwarding::ReplicaRecord &Replica) const;
   void send(const UpstreamAttempt &Attempt);
   /// Removes the attempt and reports its end to the record of its searcher.
   UpstreamAttempt removeAttempt(AttemptMap::iterator It);
@@ -83,12 +83,6 @@
   /// Ends an attempt whose searcher must get nothing any more, before it is
   /// sent.
   void withdraw(AttemptMap::iterator It);
-  /// Updates the record of the searcher and the statistics of the route.
-  void recordResponse(const UpstreamAttempt &Attempt,
-                      const ResponseMetadata &Metadata,
-                      const http::Response &Response);
-  /// Reports an abandoned attempt that took much longer than usual.
-  void recordOverdue(const UpstreamAttempt &Attempt);
   void closeConnection(const UpstreamAttempt &Attempt);
   void onLingerEnd(forwarding::AttemptNumber Attempt);
   /// Notifies the next listener that awaits a connection at the service.
@@ -99,15 +93,14 @@
   forwarding::ServiceRegistry &Registry;
   const SearcherProtocol &Protocol;
   logging::EventLog &Log;
-  UpstreamSenderSettings Settings;
+  AttemptRecorder Recorder;
+  NoticeLog Notices;
   ResponseBufferBudget ResponseBuffers;
-  DomainTraffic TrafficByDomain;
   std::map<common::SearcherId, ConnectionPool> Pools;
   AttemptMap Attempts;
   std::unordered_map<const UpstreamConnection *, forwarding::AttemptNumber>
       AttemptByConnection;
-  std::map<common::ServiceName, std::deque<forwarding::AttemptListener *>>
-      Waiting;
+  ConnectionWaiters Waiters;
   std::uint64_t NextNumber = 1;
   std::uint64_t OpenedCount = 0;
 };
