Gateway: set the end of a request in one way only

The time of the last answer of a stop reached a request through endBy and through a parameter of start. New requests of a stopping VM now use endBy, too.

--- a/Source/Gateway/ActiveRequest.cpp
+++ b/Source/Gateway/ActiveRequest.cpp
@@ -18,10 +18,8 @@
     this->Loop.cancel(*this->Timer);
 }
 
-void ActiveRequest::start(std::unique_ptr<forwarding::Execution> NewExecution,
-                          common::MonotonicTime EndBy) {
+void ActiveRequest::start(std::unique_ptr<forwarding::Execution> NewExecution) {
   this->Execution = std::move(NewExecution);
-  this->Execution->endBy(EndBy);
   this->Execution->start();
   this->armTimer();
 }
--- a/Source/Gateway/ActiveRequest.h
+++ b/Source/Gateway/ActiveRequest.h
@@ -24,9 +24,7 @@
   ActiveRequest(const ActiveRequest &) = delete;
   ActiveRequest &operator=(const ActiveRequest &) = delete;
 
-  /// EndBy: see endBy; the maximum when there is no such time.
-  void start(std::unique_ptr<forwarding::Execution> NewExecution,
-             common::MonotonicTime EndBy);
+  void start(std::unique_ptr<forwarding::Execution> NewExecution);
   /// Ends the request by Time at the latest, with the answer that is known
   /// then.
   void endBy(common::MonotonicTime Time);
--- a/Source/Gateway/ForwardingHandler.cpp
+++ b/Source/Gateway/ForwardingHandler.cpp
@@ -156,12 +156,12 @@
   }
   if (Target.Gather)
     Active->start(std::make_unique<forwarding::GatherExecution>(
-                      this->Dependencies, Request, *Active),
-                  this->AnswerBy);
+        this->Dependencies, Request, *Active));
   else
     Active->start(std::make_unique<forwarding::SingleExecution>(
-                      this->Dependencies, Request, Services.front(), *Active),
-                  this->AnswerBy);
+        this->Dependencies, Request, Services.front(), *Active));
+  if (this->Stopping)
+    Active->endBy(this->AnswerBy);
 }
 
 void ForwardingHandler::onClosed(ServerConnection &Connection) {
