Discovery, Node, OperatorCli: the time of each hop of a version in the logs

Change, no decision among it: event 210 (StoreAnswered) with the duration of the call, its revision, the newest revision in its content and the wait for the control thread; 204 with the wait before a pull and its duration; 211 for a pull that failed; 212 when the traffic thread admits requests with a version, with its wait since it was accepted; 213 when the last request of an older version has ended. acaciacross-ctl versions prints them by version and VM.

An answer and its content are handed over in one message (StoreAnswer), so that a line can name both; onAnswered was a message of its own before.

Test: VersionSpreadTest.EachHopOfAVersionIsShownForEachVm.

--- a/Source/Common/LogEvent.cpp
+++ b/Source/Common/LogEvent.cpp
@@ -26,6 +26,10 @@
     LogEvent::StoreAvailable,
     LogEvent::HistoryLost,
     LogEvent::StoreCallFailed,
+    LogEvent::StoreAnswered,
+    LogEvent::ConfigurationPullFailed,
+    LogEvent::TableInUse,
+    LogEvent::TableReleased,
     LogEvent::PeerJoined,
     LogEvent::PeerLeaving,
     LogEvent::PeerLost,
@@ -99,6 +103,14 @@
     return "HistoryLost";
   case LogEvent::StoreCallFailed:
     return "StoreCallFailed";
+  case LogEvent::StoreAnswered:
+    return "StoreAnswered";
+  case LogEvent::ConfigurationPullFailed:
+    return "ConfigurationPullFailed";
+  case LogEvent::TableInUse:
+    return "TableInUse";
+  case LogEvent::TableReleased:
+    return "TableReleased";
   case LogEvent::PeerJoined:
     return "PeerJoined";
   case LogEvent::PeerLeaving:
--- a/Source/Common/LogEvent.h
+++ b/Source/Common/LogEvent.h
@@ -31,6 +31,10 @@
   StoreAvailable = 207,
   HistoryLost = 208,
   StoreCallFailed = 209,
+  StoreAnswered = 210,
+  ConfigurationPullFailed = 211,
+  TableInUse = 212,
+  TableReleased = 213,
 
   PeerJoined = 300,
   PeerLeaving = 301,
--- a/Source/Discovery/PublishedState.cpp
+++ b/Source/Discovery/PublishedState.cpp
@@ -57,8 +57,6 @@
     this->CompleteUpTo = std::max(this->CompleteUpTo, Revision);
 }
 
-void PublishedState::onAnswered() {}
-
 void PublishedState::onCallFailed(const std::string &Problem,
                                   std::chrono::milliseconds Duration) {
   this->Log.write(logging::LogRecord(common::LogEvent::StoreCallFailed)
@@ -122,6 +120,10 @@
   return this->Table;
 }
 
+common::MonotonicTime PublishedState::tableAcceptedAt() const {
+  return this->TableAcceptedAt;
+}
+
 std::uint64_t PublishedState::revision() const { return this->KnownRevision; }
 
 bool PublishedState::knowsRemovalsAfter(std::uint64_t Revision) const {
@@ -207,7 +209,7 @@
   if (Decoded.Searcher)
     this->updateSearcher(Item, std::move(*Decoded.Searcher));
   if (Decoded.Table != nullptr)
-    this->updateTable(std::move(Decoded.Table));
+    this->updateTable(Item, std::move(Decoded.Table));
 }
 
 // Peers are told of a removal, so that a value that no VM can use goes no
@@ -259,14 +261,17 @@
 // The version never decreases, even if the store or a late answer has an older
 // one.
 void PublishedState::updateTable(
+    const StoreItem &Item,
     std::shared_ptr<const forwarding::RoutingTable> Newer) {
   if (this->Table != nullptr && Newer->version() <= this->Table->version())
     return;
   this->Table = std::move(Newer);
+  this->TableAcceptedAt = this->Time.monotonicNow();
   ++this->ChangeCount;
   this->Log.write(
       logging::LogRecord(common::LogEvent::ConfigurationAccepted)
           .number("version", static_cast<std::int64_t>(this->Table->version()))
+          .number("revision", static_cast<std::int64_t>(Item.Revision))
           .number("routes",
                   static_cast<std::int64_t>(this->Table->routes().size())));
 }
--- a/Source/Discovery/PublishedState.h
+++ b/Source/Discovery/PublishedState.h
@@ -3,11 +3,13 @@
 
 #include "Common/Clock.h"
 #include "Discovery/ItemDecoder.h"
-#include "Discovery/StoreListener.h"
+#include "Discovery/StoreChange.h"
+#include "Discovery/StoreItem.h"
 #include "Forwarding/RoutingTable.h"
 #include "Forwarding/SearcherEntry.h"
 #include "Logging/EventLog.h"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -21,22 +23,20 @@
 /// The published state that this VM knows: the searchers in use and the version
 /// of the routes in effect. Entries that expire while the store is unavailable
 /// stay in use until the searchers have had time to register again.
-class PublishedState final : public StoreListener {
+class PublishedState final {
 public:
   PublishedState(const ItemDecoder &Decoder, const common::Clock &Time,
                  logging::EventLog &Log);
 
-  void onSnapshot(std::vector<StoreItem> Items,
-                  std::uint64_t Revision) override;
-  void onChanges(std::vector<StoreChange> Changes,
-                 std::uint64_t Revision) override;
-  /// Nothing changes; the answers' age is for StoreReadPolicy.
-  void onAnswered() override;
+  /// All items that were published at the revision have been read.
+  void onSnapshot(std::vector<StoreItem> Items, std::uint64_t Revision);
+  /// With the changes all up to the revision are known.
+  void onChanges(std::vector<StoreChange> Changes, std::uint64_t Revision);
   void onCallFailed(const std::string &Problem,
-                    std::chrono::milliseconds Duration) override;
-  void onUnavailable(const std::string &Problem) override;
-  void onAvailable() override;
-  void onHistoryLost() override;
+                    std::chrono::milliseconds Duration);
+  void onUnavailable(const std::string &Problem);
+  void onAvailable();
+  void onHistoryLost();
 
   /// A peer has heard of an answer of the store that was given at the time.
   void onPeerAnswered(common::MonotonicTime At);
@@ -47,6 +47,8 @@
   std::vector<forwarding::SearcherEntry> searchers() const;
   /// The newest routing table; null until one is known.
   const std::shared_ptr<const forwarding::RoutingTable> &table() const;
+  /// When the table was accepted.
+  common::MonotonicTime tableAcceptedAt() const;
   /// The revision of the store up to which all changes are known.
   std::uint64_t revision() const;
   /// Whether all removals after the given revision are known.
@@ -79,7 +81,8 @@
   void logLeftOut(const StoreItem &Item,
                   const std::vector<std::string> &LeftOut);
   void updateSearcher(const StoreItem &Item, forwarding::SearcherEntry Entry);
-  void updateTable(std::shared_ptr<const forwarding::RoutingTable> Table);
+  void updateTable(const StoreItem &Item,
+                   std::shared_ptr<const forwarding::RoutingTable> Newer);
   void removeEntry(const std::string &Key);
   void eraseEntry(const std::string &Key, const char *Reason);
 
@@ -88,6 +91,7 @@
   logging::EventLog &Log;
   std::map<std::string, SearcherRecord> Entries;
   std::shared_ptr<const forwarding::RoutingTable> Table;
+  common::MonotonicTime TableAcceptedAt;
   /// The last change of each key, including removals.
   std::map<std::string, StoreChange> LatestChanges;
   /// The problems of malformed values by key, as logged.
--- a/Source/Discovery/StoreFollower.cpp
+++ b/Source/Discovery/StoreFollower.cpp
@@ -65,10 +65,10 @@
     HasMore = Page.HasMore && !Page.Items.empty();
     std::move(Page.Items.begin(), Page.Items.end(), std::back_inserter(Items));
   }
-  this->onSuccess(Consistency);
+  this->onSuccess();
   this->HasReadAll = true;
   this->KnownRevision = Revision;
-  this->Listener.onSnapshot(std::move(Items), *Revision);
+  this->Listener.onSnapshot(std::move(Items), this->answer(Consistency));
   return BatchDelay;
 }
 
@@ -87,12 +87,12 @@
     this->Listener.onHistoryLost();
     return this->readAll(Store);
   }
-  this->onSuccess(ReadConsistency::Current);
+  this->onSuccess();
   this->KnownRevision = std::max(*this->KnownRevision, Answer.Revision);
-  if (Answer.Changes.empty())
-    return std::chrono::milliseconds(0);
-  this->Listener.onChanges(std::move(Answer.Changes), *this->KnownRevision);
-  return BatchDelay;
+  const bool HasChanges = !Answer.Changes.empty();
+  this->Listener.onChanges(std::move(Answer.Changes),
+                           this->answer(ReadConsistency::Current));
+  return HasChanges ? BatchDelay : std::chrono::milliseconds(0);
 }
 
 std::chrono::milliseconds StoreFollower::onFailure(const std::string &Problem) {
@@ -119,10 +119,13 @@
   return std::chrono::milliseconds(HalfMs + this->Random.below(HalfMs + 1));
 }
 
-void StoreFollower::onSuccess(ReadConsistency Consistency) {
+StoreAnswer StoreFollower::answer(ReadConsistency Consistency) const {
+  return {Consistency, *this->KnownRevision, this->CalledAt,
+          this->Time.monotonicNow()};
+}
+
+void StoreFollower::onSuccess() {
   this->Failures = 0;
-  if (Consistency == ReadConsistency::Current)
-    this->Listener.onAnswered();
   if (std::exchange(this->IsUnavailable, false))
     this->Listener.onAvailable();
 }
--- a/Source/Discovery/StoreFollower.h
+++ b/Source/Discovery/StoreFollower.h
@@ -32,7 +32,8 @@
   std::chrono::milliseconds readAll(StoreReader &Store);
   std::chrono::milliseconds watch(StoreReader &Store);
   std::chrono::milliseconds onFailure(const std::string &Problem);
-  void onSuccess(ReadConsistency Consistency);
+  void onSuccess();
+  StoreAnswer answer(ReadConsistency Consistency) const;
 
   StoreListener &Listener;
   const common::Clock &Time;
--- a/Source/Discovery/StoreListener.h
+++ b/Source/Discovery/StoreListener.h
@@ -1,11 +1,11 @@
 #ifndef ACACIACROSS_DISCOVERY_STORELISTENER_H
 #define ACACIACROSS_DISCOVERY_STORELISTENER_H
 
+#include "Discovery/StoreAnswer.h"
 #include "Discovery/StoreChange.h"
 #include "Discovery/StoreItem.h"
 
 #include <chrono>
-#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -18,11 +18,10 @@
 
   /// All published items have been read.
   virtual void onSnapshot(std::vector<StoreItem> Items,
-                          std::uint64_t Revision) = 0;
+                          const StoreAnswer &Answer) = 0;
+  /// A watch was answered; Changes is empty if its time ended without any.
   virtual void onChanges(std::vector<StoreChange> Changes,
-                         std::uint64_t Revision) = 0;
-  /// The store answered a call.
-  virtual void onAnswered() = 0;
+                         const StoreAnswer &Answer) = 0;
   /// One call failed after Duration.
   virtual void onCallFailed(const std::string &Problem,
                             std::chrono::milliseconds Duration) = 0;
--- a/Source/Fleet/PublishedStateExchange.cpp
+++ b/Source/Fleet/PublishedStateExchange.cpp
@@ -9,16 +9,21 @@
     const common::Address &Local, ACE_Reactor &Events,
     const common::Clock &Time, discovery::PublishedState &Published,
     logging::EventLog &Log)
-    : Published(Published), Log(Log), Server(Local, Events, *this, Time),
-      Client(Events, *this, Time) {}
+    : Time(Time), Published(Published), Log(Log),
+      Server(Local, Events, *this, Time), Client(Events, *this, Time) {}
 
 // A VM that has just started also pulls from its peers, because the store may
 // be unavailable.
 void PublishedStateExchange::onPeerStatus(
     const common::Address &Peer, const membership::MemberStatus &Status) {
-  if (this->IsPulling ||
-      Status.RevisionInEffect.Value <= this->Published.revision())
+  if (Status.RevisionInEffect.Value <= this->Published.revision())
     return;
+  const common::MonotonicTime Now = this->Time.monotonicNow();
+  if (!this->HeardAt)
+    this->HeardAt = Now;
+  if (this->IsPulling)
+    return;
+  this->PullStartedAt = Now;
   peering::ConfigurationPullMessage Pull;
   Pull.AfterRevision = common::Revision(this->Published.revision());
   this->IsPulling = this->Client.pull(Peer, Pull);
@@ -52,6 +57,9 @@
     const common::Address &From,
     const peering::ConfigurationChangesMessage &Message) {
   this->IsPulling = false;
+  const common::MonotonicTime HeardAt =
+      this->HeardAt.value_or(this->PullStartedAt);
+  this->HeardAt.reset();
   if (Message.Changes.empty())
     return;
   this->Log.write(
@@ -60,7 +68,10 @@
           .number("changes", static_cast<std::int64_t>(Message.Changes.size()))
           .number("revision", static_cast<std::int64_t>(
                                   Message.Changes.back().Revision.Value))
-          .flag("complete", Message.CompleteAt.has_value()));
+          .flag("complete", Message.CompleteAt.has_value())
+          .milliseconds("waited_ms", this->PullStartedAt - HeardAt)
+          .milliseconds("took_ms",
+                        this->Time.monotonicNow() - this->PullStartedAt));
   if (Message.CompleteAt)
     this->applySnapshot(Message.Changes, Message.CompleteAt->Value);
   else
@@ -93,8 +104,12 @@
   this->Published.onChanges(std::move(Batch), Revision);
 }
 
-void PublishedStateExchange::onPullFailed(const common::Address &) {
+void PublishedStateExchange::onPullFailed(const common::Address &From) {
   this->IsPulling = false;
+  this->Log.write(logging::LogRecord(common::LogEvent::ConfigurationPullFailed)
+                      .text("from", From.toString())
+                      .milliseconds("took_ms", this->Time.monotonicNow() -
+                                                   this->PullStartedAt));
 }
 
 } // namespace acaciacross::fleet
--- a/Source/Fleet/PublishedStateExchange.h
+++ b/Source/Fleet/PublishedStateExchange.h
@@ -11,6 +11,7 @@
 #include "Peering/TransferServer.h"
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace acaciacross::fleet {
@@ -43,11 +44,15 @@
   void
   applyChanges(const std::vector<configuration::ConfigurationChange> &Changes);
 
+  const common::Clock &Time;
   discovery::PublishedState &Published;
   logging::EventLog &Log;
   peering::TransferServer Server;
   peering::TransferClient Client;
   bool IsPulling = false;
+  /// When a newer revision than the known one was first heard of.
+  std::optional<common::MonotonicTime> HeardAt;
+  common::MonotonicTime PullStartedAt;
 };
 
 } // namespace acaciacross::fleet
--- a/Source/Node/NodeController.cpp
+++ b/Source/Node/NodeController.cpp
@@ -85,24 +85,45 @@
 }
 
 void NodeController::onSnapshot(std::vector<discovery::StoreItem> Items,
-                                std::uint64_t Revision) {
-  this->Reactor.post([this, Items = std::move(Items), Revision] {
-    this->Published.onSnapshot(Items, Revision);
+                                const discovery::StoreAnswer &Answer) {
+  this->Reactor.post([this, Items = std::move(Items), Answer] {
+    std::uint64_t Newest = 0;
+    for (const discovery::StoreItem &Item : Items)
+      Newest = std::max(Newest, Item.Revision);
+    this->recordAnswer(Answer, "read", Items.size(), Newest);
+    this->Published.onSnapshot(Items, Answer.Revision);
   });
 }
 
 void NodeController::onChanges(std::vector<discovery::StoreChange> Changes,
-                               std::uint64_t Revision) {
-  this->Reactor.post([this, Changes = std::move(Changes), Revision] {
-    this->Published.onChanges(Changes, Revision);
+                               const discovery::StoreAnswer &Answer) {
+  this->Reactor.post([this, Changes = std::move(Changes), Answer] {
+    std::uint64_t Newest = 0;
+    for (const discovery::StoreChange &Change : Changes)
+      Newest = std::max(Newest, Change.Item.Revision);
+    this->recordAnswer(Answer, "watch", Changes.size(), Newest);
+    if (!Changes.empty())
+      this->Published.onChanges(Changes, Answer.Revision);
   });
 }
 
-void NodeController::onAnswered() {
-  this->Reactor.post([this] {
-    // Peers hear of the answer no later than of the changes that it brings.
-    this->ReadPolicy.recordAnswer(this->Time.monotonicNow());
-  });
+void NodeController::recordAnswer(const discovery::StoreAnswer &Answer,
+                                  const char *Call, std::size_t Changes,
+                                  std::uint64_t Newest) {
+  const common::MonotonicTime Now = this->Time.monotonicNow();
+  const bool IsCurrent =
+      Answer.Consistency == discovery::ReadConsistency::Current;
+  if (IsCurrent)
+    this->ReadPolicy.recordAnswer(Now);
+  this->Log.write(
+      logging::LogRecord(common::LogEvent::StoreAnswered)
+          .text("call", Call)
+          .flag("stale_allowed", !IsCurrent)
+          .number("changes", static_cast<std::int64_t>(Changes))
+          .number("revision", static_cast<std::int64_t>(Answer.Revision))
+          .number("newest", static_cast<std::int64_t>(Newest))
+          .milliseconds("took_ms", Answer.ReceivedAt - Answer.CalledAt)
+          .milliseconds("queued_ms", Now - Answer.ReceivedAt));
 }
 
 void NodeController::onCallFailed(const std::string &Problem,
@@ -219,7 +240,8 @@
     return;
   this->PublishedChanges = this->Published.changes();
   this->Traffic.setPublished(this->Published.searchers(),
-                             this->Published.table());
+                             this->Published.table(),
+                             this->Published.tableAcceptedAt());
   const bool CanServe =
       this->Published.hasSnapshot() && this->Published.table() != nullptr;
   if (!CanServe || this->IsServing)
--- a/Source/Node/NodeController.h
+++ b/Source/Node/NodeController.h
@@ -49,10 +49,9 @@
   void beginStop();
   void addSeeds(std::vector<common::Address> Seeds);
   void onSnapshot(std::vector<discovery::StoreItem> Items,
-                  std::uint64_t Revision) override;
+                  const discovery::StoreAnswer &Answer) override;
   void onChanges(std::vector<discovery::StoreChange> Changes,
-                 std::uint64_t Revision) override;
-  void onAnswered() override;
+                 const discovery::StoreAnswer &Answer) override;
   void onCallFailed(const std::string &Problem,
                     std::chrono::milliseconds Duration) override;
   void onUnavailable(const std::string &Problem) override;
@@ -67,6 +66,10 @@
   std::uint64_t knownRevision() const override;
   std::chrono::milliseconds answerAge() const override;
   unsigned busyPerMille() const override;
+  /// Handles what an answer of the store says beside its content. Newest: the
+  /// highest revision in its content.
+  void recordAnswer(const discovery::StoreAnswer &Answer, const char *Call,
+                    std::size_t Changes, std::uint64_t Newest);
   /// Whether this VM is elected to read the store for the fleet.
   bool isElected(const fleet::FleetView &View) const;
   void tick();
--- a/Source/Node/TrafficThread.cpp
+++ b/Source/Node/TrafficThread.cpp
@@ -16,7 +16,7 @@
                              const NodeEncodings &Encodings,
                              const common::Clock &TimeSource,
                              logging::EventLog &Log)
-    : Time(TimeSource), Loop(TimeSource),
+    : Time(TimeSource), Loop(TimeSource), Handover(this->Loop, Log),
       Random(common::SeededRandom::fromSystem()),
       Registry(Settings.RetryBudget),
       Sender(this->Loop, this->Registry, Encodings.searchers(), Log,
@@ -55,14 +55,17 @@
 
 void TrafficThread::setPublished(
     std::vector<forwarding::SearcherEntry> Searchers,
-    std::shared_ptr<const forwarding::RoutingTable> Table) {
-  this->Loop.post(
-      [this, Searchers = std::move(Searchers), Table = std::move(Table)] {
-        this->Registry.setSearchers(Searchers);
-        if (Table != nullptr && Table != this->Registry.table())
-          this->Registry.setTable(Table);
-        this->Sender.closeUnlisted();
-      });
+    std::shared_ptr<const forwarding::RoutingTable> Table,
+    common::MonotonicTime TableAcceptedAt) {
+  this->Loop.post([this, Searchers = std::move(Searchers),
+                   Table = std::move(Table), TableAcceptedAt] {
+    this->Registry.setSearchers(Searchers);
+    if (Table != nullptr && Table != this->Registry.table()) {
+      this->Handover.replace(this->Registry.table(), *Table, TableAcceptedAt);
+      this->Registry.setTable(Table);
+    }
+    this->Sender.closeUnlisted();
+  });
 }
 
 void TrafficThread::setFleet(fleet::FleetView View) {
--- a/Source/Node/TrafficThread.h
+++ b/Source/Node/TrafficThread.h
@@ -20,6 +20,7 @@
 #include "Node/MetricsSource.h"
 #include "Node/NodeEncodings.h"
 #include "Node/NodeSettings.h"
+#include "Node/TableHandover.h"
 #include "Routing/EntryVmSelector.h"
 
 #include <atomic>
@@ -46,7 +47,8 @@
 
   // Thread-safe:
   void setPublished(std::vector<forwarding::SearcherEntry> Searchers,
-                    std::shared_ptr<const forwarding::RoutingTable> Table);
+                    std::shared_ptr<const forwarding::RoutingTable> Table,
+                    common::MonotonicTime TableAcceptedAt);
   void setFleet(fleet::FleetView View);
   /// From now on this VM is not ready and is not among the addresses given to
   /// callers. Requests are still accepted as far as the schedule allows.
@@ -71,6 +73,7 @@
 
   const common::Clock &Time;
   net::EventLoop Loop;
+  TableHandover Handover;
   common::SeededRandom Random;
   forwarding::ServiceRegistry Registry;
   gateway::UpstreamSender Sender;
--- a/Source/Programs/OperatorCli/Program/main.cpp
+++ b/Source/Programs/OperatorCli/Program/main.cpp
@@ -4,6 +4,7 @@
 #include "Programs/OperatorCli/PageFetcher.h"
 #include "Programs/OperatorCli/RequestTimeline.h"
 #include "Programs/OperatorCli/TableRenderer.h"
+#include "Programs/OperatorCli/VersionSpread.h"
 
 #include <gflags/gflags.h>
 
@@ -37,9 +38,11 @@
     "    what the logs of VMs say of requests that were refused, late, "
     "failed,\n"
     "    abandoned or answered in part: by reason, second and searcher\n"
+    "  acaciacross-ctl versions [--json] [LOG...]\n"
+    "    how each version of the routes reached each VM, and where it waited\n"
     "exit status: 0 done or all valid, 2 wrong use, 3 a file is not valid,\n"
     "4 a file cannot be read, 5 the entry VM gave no usable answer, 6 no line\n"
-    "of a log names the request";
+    "of a log names the request or a version";
 
 using Renderer = std::optional<std::string> (*)(const std::string &);
 
@@ -115,6 +118,18 @@
   return ExitStatus::Ok;
 }
 
+ExitStatus showVersions(const std::vector<std::string> &Files) {
+  VersionSpread Spread;
+  if (!readLogs(Files, Spread))
+    return ExitStatus::FileUnreadable;
+  if (Spread.isEmpty()) {
+    std::cerr << "acaciacross-ctl: no log line names a version\n";
+    return ExitStatus::RequestUnknown;
+  }
+  std::cout << (FLAGS_json ? Spread.json() + "\n" : Spread.text());
+  return ExitStatus::Ok;
+}
+
 ExitStatus explain(const std::vector<std::string> &Arguments) {
   if (Arguments.empty())
     return reportUsageError("explain: no request given");
@@ -139,6 +154,8 @@
     return explain({Arguments.begin() + 1, Arguments.end()});
   if (Arguments.front() == "summary")
     return summarize({Arguments.begin() + 1, Arguments.end()});
+  if (Arguments.front() == "versions")
+    return showVersions({Arguments.begin() + 1, Arguments.end()});
   const auto Command = pageCommands().find(Arguments.front());
   if (Command == pageCommands().end() || Arguments.size() > 1)
     return reportUsageError(Usage);
--- a/Source/UnitTests/Discovery/StoreFollowerTest.cpp
+++ b/Source/UnitTests/Discovery/StoreFollowerTest.cpp
@@ -16,21 +16,26 @@
 class StoreFollowerTest : public testing::Test, public StoreListener {
 protected:
   void onSnapshot(std::vector<StoreItem> Items,
-                  std::uint64_t AtRevision) override {
+                  const StoreAnswer &Answer) override {
     this->Snapshots.push_back(Items.size());
-    this->Revision = AtRevision;
+    this->record(Answer);
   }
   void onChanges(std::vector<StoreChange> Changes,
-                 std::uint64_t AtRevision) override {
+                 const StoreAnswer &Answer) override {
     this->Changes += Changes.size();
-    this->Revision = AtRevision;
+    this->record(Answer);
   }
-  void onAnswered() override { ++this->Answers; }
   void onCallFailed(const std::string &, milliseconds) override {}
   void onUnavailable(const std::string &) override { ++this->Outages; }
   void onAvailable() override { ++this->Recoveries; }
   void onHistoryLost() override { ++this->HistoryLosses; }
 
+  void record(const StoreAnswer &Answer) {
+    this->Revision = Answer.Revision;
+    if (Answer.Consistency == ReadConsistency::Current)
+      ++this->Answers;
+  }
+
   void addPage(std::uint64_t AtRevision) {
     this->Store.Pages.push_back({StoreStatus::Answered,
                                  {{"a", "1", AtRevision}},
--- a/Source/UnitTests/Discovery/StoreOutageLoadTest.cpp
+++ b/Source/UnitTests/Discovery/StoreOutageLoadTest.cpp
@@ -43,11 +43,16 @@
       return {StoreStatus::Answered, {}, 1, ""};
     }
 
-    void onSnapshot(std::vector<StoreItem>, std::uint64_t) override {
+    void onSnapshot(std::vector<StoreItem>,
+                    const StoreAnswer &Answer) override {
       this->HasSnapshot = true;
+      if (Answer.Consistency == ReadConsistency::Current)
+        this->recordAnswer();
     }
-    void onChanges(std::vector<StoreChange>, std::uint64_t) override {}
-    void onAnswered() override {
+    void onChanges(std::vector<StoreChange>, const StoreAnswer &) override {
+      this->recordAnswer();
+    }
+    void recordAnswer() {
       this->AnsweredAt = this->Test.Time.monotonicNow() + this->CallTime;
     }
     void onCallFailed(const std::string &, milliseconds) override {}
--- a/Source/UnitTests/platform/NodeTrafficFixture.h
+++ b/Source/UnitTests/platform/NodeTrafficFixture.h
@@ -91,7 +91,8 @@
                                std::make_shared<const forwarding::RoutingTable>(
                                    1, std::move(Routes),
                                    std::map<common::ServiceName, unsigned>(),
-                                   Limits));
+                                   Limits),
+                               this->Time.monotonicNow());
     fleet::FleetView View;
     View.EntryVms = {{this->Settings.Vm, this->Settings.CallerAddress, "z1",
                       this->Time.monotonicNow()}};
