Discovery: what is passed on to peers is decided without a network

PublishedState says what a peer needs that knows all up to a revision, and applies what a peer has passed on (PublishedChanges); PublishedStateExchange only translates it into messages. No change of behaviour.

With that the promise of a known revision can be tested by itself: for each key the VM holds its last change up to the revision, or a later one. PublishedStatePropagationTest plays four VMs that read a store in two pages, watch it, pull from each other and restart, with answers in a random order (2,000 seeds of 250 steps).

--- a/Source/Discovery/PublishedState.cpp
+++ b/Source/Discovery/PublishedState.cpp
@@ -130,6 +130,38 @@
   return Revision >= this->RemovalsUnknownUpTo;
 }
 
+PublishedChanges PublishedState::changesSince(std::uint64_t Revision) const {
+  PublishedChanges Result;
+  if (!this->HasSnapshot)
+    return Result;
+  Result.Revision = this->KnownRevision;
+  if (this->knowsRemovalsAfter(Revision)) {
+    Result.Changes = this->changesAfter(Revision);
+    return Result;
+  }
+  Result.IsComplete = true;
+  for (StoreItem &Item : this->items())
+    Result.Changes.push_back({std::move(Item), false});
+  return Result;
+}
+
+void PublishedState::apply(PublishedChanges FromPeer) {
+  if (FromPeer.IsComplete) {
+    std::vector<StoreItem> Items;
+    Items.reserve(FromPeer.Changes.size());
+    for (StoreChange &Change : FromPeer.Changes)
+      Items.push_back(std::move(Change.Item));
+    this->onSnapshot(std::move(Items), FromPeer.Revision);
+    return;
+  }
+  if (!this->HasSnapshot)
+    return;
+  std::uint64_t Revision = 0;
+  for (const StoreChange &Change : FromPeer.Changes)
+    Revision = std::max(Revision, Change.Item.Revision);
+  this->onChanges(std::move(FromPeer.Changes), Revision);
+}
+
 std::vector<StoreItem> PublishedState::items() const {
   std::vector<StoreItem> Result;
   for (const auto &[Key, Change] : this->LatestChanges)
--- a/Source/Discovery/PublishedState.h
+++ b/Source/Discovery/PublishedState.h
@@ -3,6 +3,7 @@
 
 #include "Common/Clock.h"
 #include "Discovery/ItemDecoder.h"
+#include "Discovery/PublishedChanges.h"
 #include "Discovery/StoreChange.h"
 #include "Discovery/StoreItem.h"
 #include "Forwarding/RoutingTable.h"
@@ -51,6 +52,11 @@
   common::MonotonicTime tableAcceptedAt() const;
   /// The revision of the store up to which all changes are known.
   std::uint64_t revision() const;
+  /// What a peer needs that knows all changes up to the given revision.
+  PublishedChanges changesSince(std::uint64_t Revision) const;
+  /// Applies what a peer has passed on. Changes are ignored before the first
+  /// snapshot, because this VM cannot know what they leave out.
+  void apply(PublishedChanges FromPeer);
   /// Whether all removals after the given revision are known.
   bool knowsRemovalsAfter(std::uint64_t Revision) const;
   /// The last change of each key after the given revision, oldest first.
--- a/Source/Fleet/PublishedStateExchange.cpp
+++ b/Source/Fleet/PublishedStateExchange.cpp
@@ -1,6 +1,5 @@
 #include "Fleet/PublishedStateExchange.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace acaciacross::fleet {
@@ -30,26 +29,18 @@
 }
 
 // A removal is sent as a key with an empty text; published values are never
-// empty. A peer that may have missed removals gets all items.
+// empty.
 peering::ConfigurationChangesMessage PublishedStateExchange::changesFor(
     const peering::ConfigurationPullMessage &Pull) {
+  discovery::PublishedChanges Published =
+      this->Published.changesSince(Pull.AfterRevision.Value);
   peering::ConfigurationChangesMessage Reply;
-  if (!this->Published.hasSnapshot())
-    return Reply;
-  const auto AddChange = [&](discovery::StoreItem Item) {
-    Reply.Changes.push_back({std::move(Item.Key),
-                             common::Revision(Item.Revision),
-                             std::move(Item.Value)});
-  };
-  if (this->Published.knowsRemovalsAfter(Pull.AfterRevision.Value)) {
-    for (discovery::StoreChange &Change :
-         this->Published.changesAfter(Pull.AfterRevision.Value))
-      AddChange(std::move(Change.Item));
-    return Reply;
-  }
-  Reply.CompleteAt = common::Revision(this->Published.revision());
-  for (discovery::StoreItem &Item : this->Published.items())
-    AddChange(std::move(Item));
+  if (Published.IsComplete)
+    Reply.CompleteAt = common::Revision(Published.Revision);
+  for (discovery::StoreChange &Change : Published.Changes)
+    Reply.Changes.push_back({std::move(Change.Item.Key),
+                             common::Revision(Change.Item.Revision),
+                             std::move(Change.Item.Value)});
   return Reply;
 }
 
@@ -72,36 +63,15 @@
           .milliseconds("waited_ms", this->PullStartedAt - HeardAt)
           .milliseconds("took_ms",
                         this->Time.monotonicNow() - this->PullStartedAt));
+  discovery::PublishedChanges Received;
+  Received.IsComplete = Message.CompleteAt.has_value();
   if (Message.CompleteAt)
-    this->applySnapshot(Message.Changes, Message.CompleteAt->Value);
-  else
-    this->applyChanges(Message.Changes);
-}
-
-void PublishedStateExchange::applySnapshot(
-    const std::vector<configuration::ConfigurationChange> &Changes,
-    std::uint64_t Revision) {
-  std::vector<discovery::StoreItem> Items;
-  Items.reserve(Changes.size());
-  for (const configuration::ConfigurationChange &Change : Changes)
-    Items.push_back({Change.Key, Change.Text, Change.Revision.Value});
-  this->Published.onSnapshot(std::move(Items), Revision);
-}
-
-// Changes are ignored without a snapshot, because this VM cannot know what they
-// leave out.
-void PublishedStateExchange::applyChanges(
-    const std::vector<configuration::ConfigurationChange> &Changes) {
-  if (!this->Published.hasSnapshot())
-    return;
-  std::vector<discovery::StoreChange> Batch;
-  std::uint64_t Revision = 0;
-  for (const configuration::ConfigurationChange &Change : Changes) {
-    Batch.push_back({{Change.Key, Change.Text, Change.Revision.Value},
-                     Change.Text.empty()});
-    Revision = std::max(Revision, Change.Revision.Value);
-  }
-  this->Published.onChanges(std::move(Batch), Revision);
+    Received.Revision = Message.CompleteAt->Value;
+  for (const configuration::ConfigurationChange &Change : Message.Changes)
+    Received.Changes.push_back(
+        {{Change.Key, Change.Text, Change.Revision.Value},
+         Change.Text.empty()});
+  this->Published.apply(std::move(Received));
 }
 
 void PublishedStateExchange::onPullFailed(const common::Address &From) {
--- a/Source/Fleet/PublishedStateExchange.h
+++ b/Source/Fleet/PublishedStateExchange.h
@@ -38,11 +38,6 @@
   void onChanges(const common::Address &From,
                  const peering::ConfigurationChangesMessage &Message) override;
   void onPullFailed(const common::Address &From) override;
-  void
-  applySnapshot(const std::vector<configuration::ConfigurationChange> &Changes,
-                std::uint64_t Revision);
-  void
-  applyChanges(const std::vector<configuration::ConfigurationChange> &Changes);
 
   const common::Clock &Time;
   discovery::PublishedState &Published;
--- /dev/null
+++ b/Source/UnitTests/Discovery/FakeDecoder.h
@@ -0,0 +1,41 @@
+#ifndef ACACIACROSS_UNITTESTS_DISCOVERY_FAKEDECODER_H
+#define ACACIACROSS_UNITTESTS_DISCOVERY_FAKEDECODER_H
+
+#include "Discovery/ItemDecoder.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace acaciacross::discovery {
+
+/// Decodes the values "searcher", "draining", "bad" and "version:N".
+class FakeDecoder final : public ItemDecoder {
+public:
+  bool isUsed(const std::string &Key) const override {
+    return !Key.starts_with("other/");
+  }
+
+  PublishedItem decode(const StoreItem &Item) const override {
+    PublishedItem Decoded;
+    if (Item.Value == "bad") {
+      Decoded.Problem = "bad";
+    } else if (Item.Value.starts_with("version:")) {
+      Decoded.Table = std::make_shared<const forwarding::RoutingTable>(
+          std::stoul(Item.Value.substr(8)), std::vector<forwarding::Route>(),
+          std::map<common::ServiceName, unsigned>(),
+          forwarding::CallerLimits());
+    } else {
+      forwarding::SearcherEntry Entry;
+      Entry.Id = common::SearcherId(Item.Key);
+      Entry.IsDraining = Item.Value == "draining";
+      Decoded.Searcher = Entry;
+    }
+    return Decoded;
+  }
+};
+
+} // namespace acaciacross::discovery
+
+#endif
--- /dev/null
+++ b/Source/UnitTests/Discovery/PublishedStatePropagationTest.cpp
@@ -0,0 +1,224 @@
+#include "Discovery/PublishedState.h"
+
+#include "FakeDecoder.h"
+
+#include "TestSupport/ManualClock.h"
+
+#include <gtest/gtest.h>
+
+#include <fcntl.h>
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <random>
+
+namespace acaciacross::discovery {
+
+/// A few VMs that read a store in two pages, watch it and pull from each other;
+/// all answers arrive in a random order.
+class PublishedStatePropagationTest : public testing::Test {
+protected:
+  static constexpr std::size_t VmCount = 4;
+  static constexpr std::array Keys{"routes", "s/a", "s/b", "s/c", "s/d"};
+  /// Keys up to this one are on the first page.
+  static constexpr const char *LastKeyOfFirstPage = "s/b";
+
+  struct Vm {
+    std::unique_ptr<PublishedState> State;
+    /// The items of a first page and its revision, while a read is under way.
+    std::vector<StoreItem> FirstPage;
+    std::uint64_t FirstPageRevision = 0;
+    /// Answers that have been given and not been received yet.
+    std::deque<std::function<void()>> StoreAnswers;
+    std::deque<std::function<void()>> PullReplies;
+  };
+
+  std::size_t draw(std::size_t Count) {
+    return std::uniform_int_distribution<std::size_t>(0, Count - 1)(this->Luck);
+  }
+
+  void restart(Vm &Target) {
+    Target = Vm{};
+    Target.State =
+        std::make_unique<PublishedState>(this->Decoder, this->Time, this->Log);
+  }
+
+  void write() {
+    const std::string Key = Keys[this->draw(Keys.size())];
+    const auto Revision = static_cast<std::uint64_t>(this->History.size() + 1);
+    const bool IsRoutes = Key == "routes";
+    const bool IsRemoval = !IsRoutes && this->draw(3) == 0;
+    const std::string Value =
+        IsRoutes ? "version:" + std::to_string(Revision) : "searcher";
+    this->History.push_back(
+        {{Key, IsRemoval ? "" : Value, Revision}, IsRemoval});
+  }
+
+  /// The last change of the key up to the revision; null if there is none.
+  const StoreChange *lastChange(const std::string &Key,
+                                std::uint64_t UpTo) const {
+    for (std::size_t I = UpTo; I > 0; --I)
+      if (this->History[I - 1].Item.Key == Key)
+        return &this->History[I - 1];
+    return nullptr;
+  }
+
+  std::vector<StoreItem> page(bool IsFirst, std::uint64_t Revision) const {
+    std::vector<StoreItem> Items;
+    for (const std::string Key : Keys) {
+      const StoreChange *Last = this->lastChange(Key, Revision);
+      if ((Key <= LastKeyOfFirstPage) == IsFirst && Last != nullptr &&
+          !Last->IsRemoval)
+        Items.push_back(Last->Item);
+    }
+    return Items;
+  }
+
+  /// Reads one of two pages. A first read may be stale.
+  void readPage(Vm &Reader) {
+    const auto Newest = static_cast<std::uint64_t>(this->History.size());
+    const std::uint64_t Age = Reader.State->hasSnapshot() ? 0 : this->draw(4);
+    const std::uint64_t Revision = Newest - std::min(Age, Newest);
+    if (Reader.FirstPageRevision == 0) {
+      Reader.FirstPage = this->page(true, Revision);
+      Reader.FirstPageRevision = Revision;
+      return;
+    }
+    std::vector<StoreItem> Items = std::move(Reader.FirstPage);
+    for (StoreItem &Item : this->page(false, Revision))
+      Items.push_back(std::move(Item));
+    const std::uint64_t Known = std::min(Reader.FirstPageRevision, Revision);
+    Reader.FirstPageRevision = 0;
+    Reader.StoreAnswers.push_back(
+        [&Reader, Items, Known] { Reader.State->onSnapshot(Items, Known); });
+  }
+
+  void watch(Vm &Reader) {
+    if (!Reader.State->hasSnapshot() || !Reader.StoreAnswers.empty())
+      return;
+    const auto Newest = static_cast<std::uint64_t>(this->History.size());
+    // An answer may tell fewer changes than there are by now.
+    const std::uint64_t After = Reader.State->revision();
+    const std::uint64_t UpTo = std::min(Newest, After + this->draw(3));
+    std::vector<StoreChange> Changes(
+        this->History.begin() +
+            static_cast<std::ptrdiff_t>(std::min(After, UpTo)),
+        this->History.begin() + static_cast<std::ptrdiff_t>(UpTo));
+    if (!Changes.empty())
+      Reader.StoreAnswers.push_back(
+          [&Reader, Changes, UpTo] { Reader.State->onChanges(Changes, UpTo); });
+  }
+
+  void pull(Vm &Receiver, const Vm &Sender) {
+    if (&Receiver == &Sender ||
+        Sender.State->revision() <= Receiver.State->revision())
+      return;
+    const PublishedChanges Reply =
+        Sender.State->changesSince(Receiver.State->revision());
+    Receiver.PullReplies.push_back(
+        [&Receiver, Reply] { Receiver.State->apply(Reply); });
+  }
+
+  /// Delivers one answer. Those of the store arrive in their order, replies of
+  /// peers in any order.
+  void deliver(Vm &Receiver) {
+    if (!Receiver.StoreAnswers.empty() && this->draw(2) == 0) {
+      const auto Answer = std::move(Receiver.StoreAnswers.front());
+      Receiver.StoreAnswers.pop_front();
+      Answer();
+    } else if (!Receiver.PullReplies.empty()) {
+      const auto It =
+          Receiver.PullReplies.begin() +
+          static_cast<std::ptrdiff_t>(this->draw(Receiver.PullReplies.size()));
+      const auto Reply = std::move(*It);
+      Receiver.PullReplies.erase(It);
+      Reply();
+    }
+  }
+
+  void step() {
+    Vm &Chosen = this->Vms[this->draw(VmCount)];
+    switch (this->draw(7)) {
+    case 0:
+      return this->write();
+    case 1:
+      return this->readPage(Chosen);
+    case 2:
+      return this->watch(Chosen);
+    case 3:
+      return this->pull(Chosen, this->Vms[this->draw(VmCount)]);
+    case 4:
+      if (this->draw(10) == 0)
+        this->restart(Chosen);
+      return;
+    default:
+      return this->deliver(Chosen);
+    }
+  }
+
+  /// "Known up to a revision" promises that for each key the VM holds its last
+  /// change up to that revision, or a later one.
+  bool holdsAllItKnows(const Vm &Checked) const {
+    const std::uint64_t Known = Checked.State->revision();
+    const std::vector<StoreItem> Items = Checked.State->items();
+    for (const std::string Key : Keys) {
+      const auto Held = std::ranges::find(Items, Key, &StoreItem::Key);
+      const StoreChange *Last = this->lastChange(Key, Known);
+      const StoreChange *Newest = this->lastChange(Key, this->History.size());
+      if (Held != Items.end() && Last != nullptr &&
+          Held->Revision < Last->Item.Revision)
+        return false;
+      const bool MustHold = Last != nullptr && !Last->IsRemoval &&
+                            (Newest == Last || !Newest->IsRemoval);
+      if (Held == Items.end() && MustHold &&
+          this->isNeverRemovedAfter(Key, Known))
+        return false;
+    }
+    return true;
+  }
+
+  /// Whether no change after the revision removes the key.
+  bool isNeverRemovedAfter(const std::string &Key, std::uint64_t After) const {
+    return std::none_of(this->History.begin() +
+                            static_cast<std::ptrdiff_t>(After),
+                        this->History.end(), [&](const StoreChange &Change) {
+                          return Change.Item.Key == Key && Change.IsRemoval;
+                        });
+  }
+
+  testsupport::ManualClock Time;
+  FakeDecoder Decoder;
+  logging::EventLog Log{this->Time, ::open("/dev/null", O_WRONLY)};
+  std::mt19937 Luck;
+  /// All changes of the store; the revision of each is its position from 1.
+  std::vector<StoreChange> History;
+  std::array<Vm, VmCount> Vms;
+};
+
+// A VM took a revision for known whose changes it had only in part, and kept an
+// older version of the routes although its peers had the newer one.
+TEST_F(PublishedStatePropagationTest,
+       NoVmClaimsARevisionThatItHoldsOnlyInPart) {
+  constexpr std::uint32_t Seeds = 2'000;
+  constexpr int Steps = 250;
+  for (std::uint32_t Seed = 1; Seed <= Seeds; ++Seed) {
+    this->Luck.seed(Seed);
+    this->History.clear();
+    for (int I = 0; I < 4; ++I)
+      this->write();
+    for (Vm &Each : this->Vms)
+      this->restart(Each);
+    for (int Step = 0; Step < Steps; ++Step) {
+      this->step();
+      for (const Vm &Each : this->Vms)
+        ASSERT_TRUE(!Each.State->hasSnapshot() || this->holdsAllItKnows(Each))
+            << "seed " << Seed << ", step " << Step << ", known up to "
+            << Each.State->revision();
+    }
+  }
+}
+
+} // namespace acaciacross::discovery
--- a/Source/UnitTests/Discovery/PublishedStateTest.cpp
+++ b/Source/UnitTests/Discovery/PublishedStateTest.cpp
@@ -1,5 +1,7 @@
 #include "Discovery/PublishedState.h"
 
+#include "FakeDecoder.h"
+
 #include "TestSupport/ManualClock.h"
 
 #include <gtest/gtest.h>
@@ -10,32 +12,6 @@
 
 using std::chrono::milliseconds;
 
-/// Decodes the values "searcher", "draining", "bad" and "version:N".
-class FakeDecoder final : public ItemDecoder {
-public:
-  bool isUsed(const std::string &Key) const override {
-    return !Key.starts_with("other/");
-  }
-
-  PublishedItem decode(const StoreItem &Item) const override {
-    PublishedItem Decoded;
-    if (Item.Value == "bad") {
-      Decoded.Problem = "bad";
-    } else if (Item.Value.starts_with("version:")) {
-      Decoded.Table = std::make_shared<const forwarding::RoutingTable>(
-          std::stoul(Item.Value.substr(8)), std::vector<forwarding::Route>(),
-          std::map<common::ServiceName, unsigned>(),
-          forwarding::CallerLimits());
-    } else {
-      forwarding::SearcherEntry Entry;
-      Entry.Id = common::SearcherId(Item.Key);
-      Entry.IsDraining = Item.Value == "draining";
-      Decoded.Searcher = Entry;
-    }
-    return Decoded;
-  }
-};
-
 class PublishedStateTest : public testing::Test {
 protected:
   void change(const std::string &Key, const std::string &Value) {
