Discovery, Peering: a reply to a pull says up to which revision it tells everything

Cause: the receiver took the highest revision of the changes for known. The same holds for a reply that was cut to the size of a message: a complete list is cut in the order of its keys.

Change: the reply names the revision of the sender (ChangesUpTo), in a field that receivers before this change skip; a reply that is cut names the revision before the first change left out. Nothing else raises what a peer knows. Leaving the newer items out of the reply was tried and failed the property test: they may replace a change that the receiver needs.

Class: a claim without its content.

--- a/Source/Discovery/PublishedState.cpp
+++ b/Source/Discovery/PublishedState.cpp
@@ -135,6 +135,9 @@
   if (!this->HasSnapshot)
     return Result;
   Result.Revision = this->KnownRevision;
+  // The pages of a read are no snapshot, so a later page may hold items newer
+  // than the known revision. They are passed on, since they may replace a
+  // change that the peer needs, but do not raise what it knows.
   if (this->knowsRemovalsAfter(Revision)) {
     Result.Changes = this->changesAfter(Revision);
     return Result;
@@ -156,10 +159,7 @@
   }
   if (!this->HasSnapshot)
     return;
-  std::uint64_t Revision = 0;
-  for (const StoreChange &Change : FromPeer.Changes)
-    Revision = std::max(Revision, Change.Item.Revision);
-  this->onChanges(std::move(FromPeer.Changes), Revision);
+  this->onChanges(std::move(FromPeer.Changes), FromPeer.Revision);
 }
 
 std::vector<StoreItem> PublishedState::items() const {
--- a/Source/Fleet/PublishedStateExchange.cpp
+++ b/Source/Fleet/PublishedStateExchange.cpp
@@ -37,6 +37,8 @@
   peering::ConfigurationChangesMessage Reply;
   if (Published.IsComplete)
     Reply.CompleteAt = common::Revision(Published.Revision);
+  else
+    Reply.ChangesUpTo = common::Revision(Published.Revision);
   for (discovery::StoreChange &Change : Published.Changes)
     Reply.Changes.push_back({std::move(Change.Item.Key),
                              common::Revision(Change.Item.Revision),
@@ -51,22 +53,23 @@
   const common::MonotonicTime HeardAt =
       this->HeardAt.value_or(this->PullStartedAt);
   this->HeardAt.reset();
-  if (Message.Changes.empty())
+  if (Message.Changes.empty() && !Message.ChangesUpTo)
     return;
+  discovery::PublishedChanges Received;
+  Received.IsComplete = Message.CompleteAt.has_value();
+  if (Message.CompleteAt)
+    Received.Revision = Message.CompleteAt->Value;
+  else if (Message.ChangesUpTo)
+    Received.Revision = Message.ChangesUpTo->Value;
   this->Log.write(
       logging::LogRecord(common::LogEvent::ConfigurationPulled)
           .text("from", From.toString())
           .number("changes", static_cast<std::int64_t>(Message.Changes.size()))
-          .number("revision", static_cast<std::int64_t>(
-                                  Message.Changes.back().Revision.Value))
+          .number("revision", static_cast<std::int64_t>(Received.Revision))
           .flag("complete", Message.CompleteAt.has_value())
           .milliseconds("waited_ms", this->PullStartedAt - HeardAt)
           .milliseconds("took_ms",
                         this->Time.monotonicNow() - this->PullStartedAt));
-  discovery::PublishedChanges Received;
-  Received.IsComplete = Message.CompleteAt.has_value();
-  if (Message.CompleteAt)
-    Received.Revision = Message.CompleteAt->Value;
   for (const configuration::ConfigurationChange &Change : Message.Changes)
     Received.Changes.push_back(
         {{Change.Key, Change.Text, Change.Revision.Value},
--- a/Source/Peering/ConfigurationChangesMessage.h
+++ b/Source/Peering/ConfigurationChangesMessage.h
@@ -16,6 +16,10 @@
   /// Set when the message holds every key that exists at this revision; keys
   /// that it does not hold have been removed.
   std::optional<common::Revision> CompleteAt;
+  /// Set when a receiver that knows all changes up to the revision that it
+  /// asked for knows all up to this one with the message. Never set together
+  /// with CompleteAt.
+  std::optional<common::Revision> ChangesUpTo;
 };
 
 } // namespace acaciacross::peering
--- a/Source/Peering/TransferCodec.cpp
+++ b/Source/Peering/TransferCodec.cpp
@@ -31,6 +31,18 @@
   return Count;
 }
 
+// Without the changes that do not fit, only those before the first of them are
+// covered. 0 says that the sender cannot tell.
+common::Revision
+coveredRevision(const std::vector<ConfigurationChange> &Changes,
+                std::size_t Count,
+                std::optional<common::Revision> ChangesUpTo) {
+  if (!ChangesUpTo || Count == Changes.size())
+    return ChangesUpTo.value_or(common::Revision(0));
+  return std::min(*ChangesUpTo,
+                  common::Revision(Changes[Count].Revision.Value - 1));
+}
+
 void expectKind(const WireReader &In, MessageKind Kind) {
   if (In.kind() != Kind)
     throw PeerMessageError("another kind of message than expected");
@@ -85,14 +97,16 @@
 }
 
 std::string encodeChanges(const std::vector<ConfigurationChange> &Changes,
-                          std::optional<common::Revision> CompleteAt) {
+                          std::optional<common::Revision> CompleteAt,
+                          std::optional<common::Revision> ChangesUpTo) {
   WireWriter Out(MessageKind::ConfigurationChanges);
   const std::size_t Count = countFitting(Changes);
   const bool HasMore = Count < Changes.size();
   const bool IsComplete = CompleteAt.has_value() && !HasMore;
   Out.number(static_cast<std::uint8_t>(HasMore ? 1 : 0));
   Out.number(static_cast<std::uint8_t>(IsComplete ? 1 : 0));
-  Out.number(IsComplete ? CompleteAt->Value : 0);
+  Out.number(IsComplete ? CompleteAt->Value
+                        : coveredRevision(Changes, Count, ChangesUpTo).Value);
   Out.number(static_cast<std::uint16_t>(Count));
   for (std::size_t Index = 0; Index < Count; ++Index) {
     Out.name(Changes[Index].Key, MaxKeyBytes);
@@ -113,6 +127,8 @@
   const common::Revision At(In.number<std::uint64_t>());
   if (IsComplete)
     Message.CompleteAt = At;
+  else if (At.Value > 0)
+    Message.ChangesUpTo = At;
   const std::size_t Count = In.count(MaxKeys);
   for (std::size_t Index = 0; Index < Count; ++Index)
     Message.Changes.push_back(readChange(In));
--- a/Source/Peering/TransferCodec.h
+++ b/Source/Peering/TransferCodec.h
@@ -18,10 +18,13 @@
 ConfigurationPullMessage decodePull(std::string_view Bytes);
 
 /// Encodes as many leading changes as fit into MaxChangesBytes. When some do
-/// not fit, HasMore is set and CompleteAt is left out. Throws PeerMessageError.
+/// not fit, HasMore is set, CompleteAt is left out, and ChangesUpTo is lowered
+/// to the revision before the first of them; the changes are then ordered by
+/// revision. Throws PeerMessageError.
 std::string
 encodeChanges(const std::vector<configuration::ConfigurationChange> &Changes,
-              std::optional<common::Revision> CompleteAt = std::nullopt);
+              std::optional<common::Revision> CompleteAt = std::nullopt,
+              std::optional<common::Revision> ChangesUpTo = std::nullopt);
 
 /// Throws PeerMessageError.
 ConfigurationChangesMessage decodeChanges(std::string_view Bytes);
--- a/Source/UnitTests/Discovery/PublishedStateTest.cpp
+++ b/Source/UnitTests/Discovery/PublishedStateTest.cpp
@@ -251,6 +251,24 @@
   EXPECT_TRUE(this->State.knowsRemovalsAfter(9));
 }
 
+// The second page of a read was newer than the first. A peer took the revision
+// of its items for known, missed the version between the pages, and kept the
+// older one.
+TEST_F(PublishedStateTest,
+       ItemsNewerThanTheKnownRevisionAreNotPassedOnAsKnown) {
+  PublishedState Peer{this->Decoder, this->Time, this->Log};
+  for (PublishedState *Each : {&this->State, &Peer})
+    Each->onSnapshot({{"routes", "version:1", 1}}, 6);
+  this->State.onSnapshot({{"routes", "version:1", 1}, {"z", "searcher", 9}}, 6);
+  this->State.onChanges({{{"a", "searcher", 7}, false}}, 7);
+  Peer.apply(this->State.changesSince(Peer.revision()));
+  EXPECT_EQ(Peer.revision(), 7U);
+  this->State.onChanges({{{"routes", "version:2", 8}, false}}, 9);
+  Peer.apply(this->State.changesSince(Peer.revision()));
+  EXPECT_EQ(Peer.revision(), 9U);
+  EXPECT_EQ(Peer.table()->version(), 2U);
+}
+
 // A peer that receives all items must not receive removed ones.
 TEST_F(PublishedStateTest, ItemsLeaveOutRemovedKeys) {
   this->change("a", "searcher");
--- a/Source/UnitTests/Peering/TransferCodecTest.cpp
+++ b/Source/UnitTests/Peering/TransferCodecTest.cpp
@@ -69,6 +69,23 @@
   EXPECT_FALSE(Truncated.CompleteAt.has_value());
 }
 
+// A receiver that took the revision of the sender for known would never ask for
+// the changes that did not fit.
+TEST_F(TransferCodecTest,
+       TruncatedChangesCoverOnlyWhatPrecedesTheFirstLeftOut) {
+  const auto Whole = decodeChanges(encodeChanges(
+      {{"classes", common::Revision(3), "a"}}, {}, common::Revision(5)));
+  EXPECT_EQ(Whole.ChangesUpTo, common::Revision(5));
+  std::vector<configuration::ConfigurationChange> Large;
+  for (std::uint64_t Key = 0; Key < 8; ++Key)
+    Large.push_back({"key-" + std::to_string(Key), common::Revision(10 + Key),
+                     std::string(MaxDocumentBytes, 'x')});
+  const auto Truncated =
+      decodeChanges(encodeChanges(Large, {}, common::Revision(20)));
+  ASSERT_EQ(Truncated.Changes.size(), 3U);
+  EXPECT_EQ(Truncated.ChangesUpTo, common::Revision(12));
+}
+
 // A wrong length field must not lead to an allocation of that size.
 TEST_F(TransferCodecTest, CorruptedMessagesAreRefused) {
   common::SeededRandom Random(20261204);
