Discovery: a late complete list restores no entry that was removed before

Cause: a change counted as newer when it was newer than the record of its key.

Change: nothing up to the revision that is completely known is new.

Test, which failed before: PublishedStateTest.LateCompleteListDoesNotRestoreAnEntryRemovedBefore.

--- a/Source/Discovery/PublishedState.cpp
+++ b/Source/Discovery/PublishedState.cpp
@@ -187,15 +187,15 @@
 bool PublishedState::hasSnapshot() const { return this->HasSnapshot; }
 
 // Changes come from the store and from peers, so an older change can arrive
-// after a newer one. It must not restore a removed entry. The removal itself
-// may be unknown: a complete list does not name removed keys.
+// after a newer one, and must not restore a removed entry. All changes up to
+// CompleteUpTo are known, also those that a complete list does not name: the
+// removals.
 bool PublishedState::isNewer(const std::string &Key,
                              std::uint64_t Revision) const {
   const auto Known = this->LatestChanges.find(Key);
-  const std::uint64_t KnownUpTo = Known == this->LatestChanges.end()
-                                      ? this->CompleteUpTo
-                                      : Known->second.Item.Revision;
-  return KnownUpTo < Revision;
+  const bool IsSuperseded = Known != this->LatestChanges.end() &&
+                            Revision <= Known->second.Item.Revision;
+  return !IsSuperseded && Revision > this->CompleteUpTo;
 }
 
 void PublishedState::recordChange(StoreChange Change) {
--- a/Source/UnitTests/Discovery/PublishedStateTest.cpp
+++ b/Source/UnitTests/Discovery/PublishedStateTest.cpp
@@ -69,6 +69,19 @@
   EXPECT_EQ(this->searcherCount(), 3U);
 }
 
+// A pull from a slow peer ended after this VM had read everything itself. The
+// removal was known only by the absence of the key, and its record was older.
+TEST_F(PublishedStateTest, LateCompleteListDoesNotRestoreAnEntryRemovedBefore) {
+  this->State.onSnapshot({{"a", "searcher", 3}, {"b", "searcher", 4}}, 6);
+  this->State.onChanges({{{"b", "", 7}, true}}, 7);
+  this->State.onSnapshot({{"a", "searcher", 3}}, 20);
+  this->State.apply(
+      {{{{"a", "searcher", 3}, false}, {{"b", "searcher", 8}, false}},
+       true,
+       9});
+  EXPECT_EQ(this->searcherCount(), 1U);
+}
+
 // Without a complete list, an unknown key may be one that was never received.
 TEST_F(PublishedStateTest, ChangesBeforeTheFirstSnapshotDoNotHideItsEntries) {
   this->State.onChanges({{{"a", "searcher", 7}, false}}, 7);
