Fleet, Node: hand over pulled changes at once

Cause: the published state is handed to the traffic thread after posted tasks and ticks. The reply to a pull is handled in neither.

Change: PublishedStateExchange tells its listener when a reply has been applied.

Test, which fails without the call: PublishedStateExchangeTest.PulledChangesAreToldAtOnce.

--- a/Source/Fleet/PublishedStateExchange.cpp
+++ b/Source/Fleet/PublishedStateExchange.cpp
@@ -7,8 +7,8 @@
 PublishedStateExchange::PublishedStateExchange(
     const common::Address &Local, ACE_Reactor &Events,
     const common::Clock &Time, discovery::PublishedState &Published,
-    logging::EventLog &Log)
-    : Time(Time), Published(Published), Log(Log),
+    PublishedStateListener &Listener, logging::EventLog &Log)
+    : Time(Time), Published(Published), Listener(Listener), Log(Log),
       Server(Local, Events, *this, Time), Client(Events, *this, Time) {}
 
 // A VM that has just started also pulls from its peers, because the store may
@@ -75,6 +75,7 @@
         {{Change.Key, Change.Text, Change.Revision.Value},
          Change.Text.empty()});
   this->Published.apply(std::move(Received));
+  this->Listener.onPublishedStateChanged();
 }
 
 void PublishedStateExchange::onPullFailed(const common::Address &From) {
--- a/Source/Fleet/PublishedStateExchange.h
+++ b/Source/Fleet/PublishedStateExchange.h
@@ -3,6 +3,7 @@
 
 #include "Common/Clock.h"
 #include "Discovery/PublishedState.h"
+#include "Fleet/PublishedStateListener.h"
 #include "Logging/EventLog.h"
 #include "Membership/MemberStatus.h"
 #include "Peering/ConfigurationSource.h"
@@ -26,6 +27,7 @@
   PublishedStateExchange(const common::Address &Local, ACE_Reactor &Events,
                          const common::Clock &Time,
                          discovery::PublishedState &Published,
+                         PublishedStateListener &Listener,
                          logging::EventLog &Log);
 
   /// Handles the status of a peer; pulls from it if its revision is newer.
@@ -41,6 +43,7 @@
 
   const common::Clock &Time;
   discovery::PublishedState &Published;
+  PublishedStateListener &Listener;
   logging::EventLog &Log;
   peering::TransferServer Server;
   peering::TransferClient Client;
--- a/Source/Node/NodeController.cpp
+++ b/Source/Node/NodeController.cpp
@@ -41,7 +41,7 @@
       Published(Encodings.items(), TimeSource, Log),
       ReadPolicy(Settings.MaxChangeDelay),
       Exchange(Settings.PeerAddress, this->Reactor.events(), TimeSource,
-               this->Published, Log),
+               this->Published, *this, Log),
       Agent(agentSettings(Settings, this->Random), this->Reactor.events(),
             this->BootTime, this->Random, Log, *this, *this, this->Placement) {}
 
@@ -175,6 +175,9 @@
   this->Exchange.onPeerStatus(Peer, Status);
 }
 
+// Replies of peers are handled outside the tasks and ticks of the reactor.
+void NodeController::onPublishedStateChanged() { this->publish(); }
+
 std::uint64_t NodeController::knownRevision() const {
   return this->Published.revision();
 }
--- a/Source/Node/NodeController.h
+++ b/Source/Node/NodeController.h
@@ -28,6 +28,7 @@
 /// fleet and controls the planned stop.
 class NodeController final : public discovery::StoreListener,
                              private fleet::FleetViewListener,
+                             private fleet::PublishedStateListener,
                              private fleet::LocalStatusSource {
 public:
   /// OnStopped is called on the control thread when a planned stop is complete.
@@ -63,6 +64,7 @@
   void onPeerAcknowledged(const common::Address &Peer,
                           const membership::MemberStatus &Status,
                           common::MonotonicTime SentAt) override;
+  void onPublishedStateChanged() override;
   std::uint64_t knownRevision() const override;
   std::chrono::milliseconds answerAge() const override;
   unsigned busyPerMille() const override;
--- a/Source/UnitTests/Fleet/PublishedStateExchangeTest.cpp
+++ b/Source/UnitTests/Fleet/PublishedStateExchangeTest.cpp
@@ -30,8 +30,13 @@
 };
 
 /// Two VMs that exchange their published state over loopback.
-class PublishedStateExchangeTest : public testing::Test {
+class PublishedStateExchangeTest : public testing::Test,
+                                   private PublishedStateListener {
 protected:
+  void onPublishedStateChanged() override {
+    this->RevisionTold = this->Second.revision();
+  }
+
   /// Reports the revision of the first VM to the second one. Returns false if
   /// the second does not reach it within ten seconds.
   bool updateSecond() {
@@ -54,11 +59,16 @@
   discovery::PublishedState First{this->Decoder, this->Time, this->Log};
   discovery::PublishedState Second{this->Decoder, this->Time, this->Log};
   common::Address FirstAddress = testsupport::findFreeAddress();
-  PublishedStateExchange FirstExchange{this->FirstAddress, this->Events,
-                                       this->Time, this->First, this->Log};
+  PublishedStateExchange FirstExchange{
+      this->FirstAddress, this->Events, this->Time,
+      this->First,        *this,        this->Log};
   PublishedStateExchange SecondExchange{testsupport::findFreeAddress(),
-                                        this->Events, this->Time, this->Second,
+                                        this->Events,
+                                        this->Time,
+                                        this->Second,
+                                        *this,
                                         this->Log};
+  std::uint64_t RevisionTold = 0;
 };
 
 // The store may be unavailable when a VM starts; without state from its peers,
@@ -84,6 +94,14 @@
   EXPECT_EQ(Searchers[1].Id.Value, "c");
 }
 
+// The traffic thread got pulled changes with the next tick only, up to 200 ms
+// later.
+TEST_F(PublishedStateExchangeTest, PulledChangesAreToldAtOnce) {
+  this->First.onSnapshot({{"a", "x", 3}}, 9);
+  ASSERT_TRUE(this->updateSecond());
+  EXPECT_EQ(this->RevisionTold, 9U);
+}
+
 // Sending all items in each round would exceed the budget of control messages.
 TEST_F(PublishedStateExchangeTest, VmThatMissedOneChangeGetsOnlyThatChange) {
   for (discovery::PublishedState *State : {&this->First, &this->Second})
