Fleet: ask another peer when a pull takes too long

What callers could see: a VM pulls a version from a peer that stops answering in that moment (power, freeze, cut).

Cause: one flag kept all pulls back while one was under way.

Test, which fails with the one flag: PullScheduleTest.AnotherPeerIsAskedWhenThePullTakesTooLong. Class: one silent peer holds up what others could answer.

--- a/Source/Fleet/PublishedStateExchange.cpp
+++ b/Source/Fleet/PublishedStateExchange.cpp
@@ -15,17 +15,20 @@
 // be unavailable.
 void PublishedStateExchange::onPeerStatus(
     const common::Address &Peer, const membership::MemberStatus &Status) {
-  if (Status.RevisionInEffect.Value <= this->Published.revision())
+  const std::uint64_t Known = this->Published.revision();
+  if (Status.RevisionInEffect.Value <= Known)
     return;
   const common::MonotonicTime Now = this->Time.monotonicNow();
-  if (!this->HeardAt)
+  if (this->HeardRevision <= Known) {
+    this->HeardRevision = Status.RevisionInEffect.Value;
     this->HeardAt = Now;
-  if (this->IsPulling)
+  }
+  if (!this->Pulls.mayBegin(Peer, Now))
     return;
-  this->PullStartedAt = Now;
   peering::ConfigurationPullMessage Pull;
-  Pull.AfterRevision = common::Revision(this->Published.revision());
-  this->IsPulling = this->Client.pull(Peer, Pull);
+  Pull.AfterRevision = common::Revision(Known);
+  if (this->Client.pull(Peer, Pull))
+    this->Pulls.begin(Peer, Now);
 }
 
 // A removal is sent as a key with an empty text; published values are never
@@ -49,10 +52,8 @@
 void PublishedStateExchange::onChanges(
     const common::Address &From,
     const peering::ConfigurationChangesMessage &Message) {
-  this->IsPulling = false;
-  const common::MonotonicTime HeardAt =
-      this->HeardAt.value_or(this->PullStartedAt);
-  this->HeardAt.reset();
+  const common::MonotonicTime Now = this->Time.monotonicNow();
+  const std::chrono::nanoseconds Duration = this->Pulls.end(From, Now);
   if (Message.Changes.empty() && !Message.ChangesUpTo)
     return;
   discovery::PublishedChanges Received;
@@ -67,9 +68,8 @@
           .number("changes", static_cast<std::int64_t>(Message.Changes.size()))
           .number("revision", static_cast<std::int64_t>(Received.Revision))
           .flag("complete", Message.CompleteAt.has_value())
-          .milliseconds("waited_ms", this->PullStartedAt - HeardAt)
-          .milliseconds("took_ms",
-                        this->Time.monotonicNow() - this->PullStartedAt));
+          .milliseconds("waited_ms", Now - Duration - this->HeardAt)
+          .milliseconds("took_ms", Duration));
   for (const configuration::ConfigurationChange &Change : Message.Changes)
     Received.Changes.push_back(
         {{Change.Key, Change.Text, Change.Revision.Value},
@@ -79,11 +79,11 @@
 }
 
 void PublishedStateExchange::onPullFailed(const common::Address &From) {
-  this->IsPulling = false;
-  this->Log.write(logging::LogRecord(common::LogEvent::ConfigurationPullFailed)
-                      .text("from", From.toString())
-                      .milliseconds("took_ms", this->Time.monotonicNow() -
-                                                   this->PullStartedAt));
+  this->Log.write(
+      logging::LogRecord(common::LogEvent::ConfigurationPullFailed)
+          .text("from", From.toString())
+          .milliseconds("took_ms",
+                        this->Pulls.end(From, this->Time.monotonicNow())));
 }
 
 } // namespace acaciacross::fleet
--- a/Source/Fleet/PublishedStateExchange.h
+++ b/Source/Fleet/PublishedStateExchange.h
@@ -4,6 +4,7 @@
 #include "Common/Clock.h"
 #include "Discovery/PublishedState.h"
 #include "Fleet/PublishedStateListener.h"
+#include "Fleet/PullSchedule.h"
 #include "Logging/EventLog.h"
 #include "Membership/MemberStatus.h"
 #include "Peering/ConfigurationSource.h"
@@ -12,7 +13,6 @@
 #include "Peering/TransferServer.h"
 
 #include <cstdint>
-#include <optional>
 #include <vector>
 
 namespace acaciacross::fleet {
@@ -47,10 +47,10 @@
   logging::EventLog &Log;
   peering::TransferServer Server;
   peering::TransferClient Client;
-  bool IsPulling = false;
-  /// When a newer revision than the known one was first heard of.
-  std::optional<common::MonotonicTime> HeardAt;
-  common::MonotonicTime PullStartedAt;
+  PullSchedule Pulls;
+  /// The first newer revision that this VM heard of, and when.
+  std::uint64_t HeardRevision = 0;
+  common::MonotonicTime HeardAt;
 };
 
 } // namespace acaciacross::fleet
