Discovery, Node: an answer counts for a VM only with what it brought

What callers could see: a VM that hears of a fresh answer but lacks its changes does not read the store itself, so a pull that hangs, or a reader that is slow to pass its changes on, leaves it with an older version (CONFIG).

Cause: two claims without content. A peer's answer counted as soon as it was heard of, before its changes were pulled. An answer of the store was dated when the control thread handled it; one that waited in a buffer while the VM was frozen looked new.

Change: a peer's answer counts only when this VM knows all that the peer knows. An answer of a watch is dated at the end of its wait at the latest, one of a read at its beginning.

--- a/Source/Discovery/StoreAnswer.h
+++ b/Source/Discovery/StoreAnswer.h
@@ -15,6 +15,9 @@
   std::uint64_t Revision = 0;
   /// When the first call of the answer was made.
   common::MonotonicTime CalledAt;
+  /// The content is at least as new as the store was at this time. An answer
+  /// may wait in a buffer while the VM is paused.
+  common::MonotonicTime GivenAt;
   /// When the answer was complete.
   common::MonotonicTime ReceivedAt;
 };
--- a/Source/Discovery/StoreFollower.cpp
+++ b/Source/Discovery/StoreFollower.cpp
@@ -53,6 +53,7 @@
   const ReadConsistency Consistency = this->HasReadAll
                                           ? ReadConsistency::Current
                                           : ReadConsistency::StaleAllowed;
+  const common::MonotonicTime CalledAt = this->Time.monotonicNow();
   std::vector<StoreItem> Items;
   std::optional<std::uint64_t> Revision;
   bool HasMore = true;
@@ -68,7 +69,8 @@
   this->onSuccess();
   this->HasReadAll = true;
   this->KnownRevision = Revision;
-  this->Listener.onSnapshot(std::move(Items), this->answer(Consistency));
+  this->Listener.onSnapshot(std::move(Items),
+                            this->answer(Consistency, CalledAt));
   return BatchDelay;
 }
 
@@ -90,8 +92,11 @@
   this->onSuccess();
   this->KnownRevision = std::max(*this->KnownRevision, Answer.Revision);
   const bool HasChanges = !Answer.Changes.empty();
+  // The store answers at the end of the wait at the latest.
+  const common::MonotonicTime GivenAt =
+      std::min(this->Time.monotonicNow(), this->CalledAt + Wait);
   this->Listener.onChanges(std::move(Answer.Changes),
-                           this->answer(ReadConsistency::Current));
+                           this->answer(ReadConsistency::Current, GivenAt));
   return HasChanges ? BatchDelay : std::chrono::milliseconds(0);
 }
 
@@ -119,8 +124,9 @@
   return std::chrono::milliseconds(HalfMs + this->Random.below(HalfMs + 1));
 }
 
-StoreAnswer StoreFollower::answer(ReadConsistency Consistency) const {
-  return {Consistency, *this->KnownRevision, this->CalledAt,
+StoreAnswer StoreFollower::answer(ReadConsistency Consistency,
+                                  common::MonotonicTime GivenAt) const {
+  return {Consistency, *this->KnownRevision, this->CalledAt, GivenAt,
           this->Time.monotonicNow()};
 }
 
--- a/Source/Discovery/StoreFollower.h
+++ b/Source/Discovery/StoreFollower.h
@@ -33,7 +33,8 @@
   std::chrono::milliseconds watch(StoreReader &Store);
   std::chrono::milliseconds onFailure(const std::string &Problem);
   void onSuccess();
-  StoreAnswer answer(ReadConsistency Consistency) const;
+  StoreAnswer answer(ReadConsistency Consistency,
+                     common::MonotonicTime GivenAt) const;
 
   StoreListener &Listener;
   const common::Clock &Time;
--- a/Source/Discovery/StoreReadPolicy.cpp
+++ b/Source/Discovery/StoreReadPolicy.cpp
@@ -42,6 +42,13 @@
   this->AnsweredAt = std::max(this->AnsweredAt.value_or(At), At);
 }
 
+void StoreReadPolicy::recordPeerAnswer(common::MonotonicTime At,
+                                       std::uint64_t PeerRevision,
+                                       std::uint64_t OwnRevision) {
+  if (PeerRevision <= OwnRevision)
+    this->recordAnswer(At);
+}
+
 std::chrono::milliseconds
 StoreReadPolicy::answerAge(common::MonotonicTime Now) const {
   if (!this->AnsweredAt)
--- a/Source/Discovery/StoreReadPolicy.h
+++ b/Source/Discovery/StoreReadPolicy.h
@@ -5,6 +5,7 @@
 #include "Discovery/FallbackRank.h"
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 
 namespace acaciacross::discovery {
@@ -18,8 +19,13 @@
   /// MaxChangeDelay is the time within which a change must be in effect.
   explicit StoreReadPolicy(std::chrono::milliseconds MaxChangeDelay);
 
-  /// Records that the store answered this VM or a peer at the given time.
+  /// Records that this VM knows all changes that the store had at the given
+  /// time.
   void recordAnswer(common::MonotonicTime At);
+  /// Records that a peer reports this of itself. Nothing follows for this VM
+  /// while it lacks changes that the peer knows.
+  void recordPeerAnswer(common::MonotonicTime At, std::uint64_t PeerRevision,
+                        std::uint64_t OwnRevision);
   /// Returns the time since the newest answer, at most a minute; a minute if
   /// there was none.
   std::chrono::milliseconds answerAge(common::MonotonicTime Now) const;
--- a/Source/Node/NodeController.cpp
+++ b/Source/Node/NodeController.cpp
@@ -114,7 +114,7 @@
   const bool IsCurrent =
       Answer.Consistency == discovery::ReadConsistency::Current;
   if (IsCurrent)
-    this->ReadPolicy.recordAnswer(Now);
+    this->ReadPolicy.recordAnswer(Answer.GivenAt);
   this->Log.write(
       logging::LogRecord(common::LogEvent::StoreAnswered)
           .text("call", Call)
@@ -170,7 +170,8 @@
                                         const membership::MemberStatus &Status,
                                         common::MonotonicTime SentAt) {
   const common::MonotonicTime AnsweredAt = SentAt - Status.ServiceAnswerAge;
-  this->ReadPolicy.recordAnswer(AnsweredAt);
+  this->ReadPolicy.recordPeerAnswer(AnsweredAt, Status.RevisionInEffect.Value,
+                                    this->Published.revision());
   this->Published.onPeerAnswered(AnsweredAt);
   this->Exchange.onPeerStatus(Peer, Status);
 }
--- a/Source/UnitTests/Discovery/FakeStore.h
+++ b/Source/UnitTests/Discovery/FakeStore.h
@@ -4,6 +4,7 @@
 #include "Discovery/StoreReader.h"
 
 #include <deque>
+#include <functional>
 #include <vector>
 
 namespace acaciacross::discovery {
@@ -22,6 +23,8 @@
                             std::chrono::milliseconds Wait) override {
     this->WatchesAfter.push_back(AfterRevision);
     this->LongestWait = std::max(this->LongestWait, Wait);
+    if (this->BeforeWatchAnswer)
+      this->BeforeWatchAnswer();
     return nextAnswer(this->Watches);
   }
 
@@ -31,6 +34,8 @@
   std::vector<ReadConsistency> Consistencies;
   std::vector<std::uint64_t> WatchesAfter;
   std::chrono::milliseconds LongestWait{0};
+  /// Called while a watch waits.
+  std::function<void()> BeforeWatchAnswer;
 
 private:
   template <typename Answer>
--- a/Source/UnitTests/Discovery/PublishedStatePropagationTest.cpp
+++ b/Source/UnitTests/Discovery/PublishedStatePropagationTest.cpp
@@ -2,6 +2,8 @@
 
 #include "FakeDecoder.h"
 
+#include "Discovery/StoreReadPolicy.h"
+
 #include "TestSupport/ManualClock.h"
 
 #include <gtest/gtest.h>
@@ -10,6 +12,7 @@
 
 #include <algorithm>
 #include <array>
+#include <chrono>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -28,12 +31,16 @@
 
   struct Vm {
     std::unique_ptr<PublishedState> State;
+    StoreReadPolicy Policy{std::chrono::seconds(3)};
     /// The items of a first page and its revision, while a read is under way.
     std::vector<StoreItem> FirstPage;
     std::uint64_t FirstPageRevision = 0;
+    common::MonotonicTime FirstPageAt;
+    /// Whether the read may not be stale.
+    bool IsCurrent = false;
     /// Answers that have been given and not been received yet.
     std::deque<std::function<void()>> StoreAnswers;
-    std::deque<std::function<void()>> PullReplies;
+    std::deque<std::function<void()>> PeerMessages;
   };
 
   std::size_t draw(std::size_t Count) {
@@ -55,6 +62,7 @@
         IsRoutes ? "version:" + std::to_string(Revision) : "searcher";
     this->History.push_back(
         {{Key, IsRemoval ? "" : Value, Revision}, IsRemoval});
+    this->WrittenAt.push_back(this->Time.monotonicNow());
   }
 
   /// The last change of the key up to the revision; null if there is none.
@@ -80,11 +88,14 @@
   /// Reads one of two pages. A first read may be stale.
   void readPage(Vm &Reader) {
     const auto Newest = static_cast<std::uint64_t>(this->History.size());
-    const std::uint64_t Age = Reader.State->hasSnapshot() ? 0 : this->draw(4);
+    if (Reader.FirstPageRevision == 0)
+      Reader.IsCurrent = Reader.State->hasSnapshot();
+    const std::uint64_t Age = Reader.IsCurrent ? 0 : this->draw(4);
     const std::uint64_t Revision = Newest - std::min(Age, Newest);
     if (Reader.FirstPageRevision == 0) {
       Reader.FirstPage = this->page(true, Revision);
       Reader.FirstPageRevision = Revision;
+      Reader.FirstPageAt = this->Time.monotonicNow();
       return;
     }
     std::vector<StoreItem> Items = std::move(Reader.FirstPage);
@@ -92,24 +103,40 @@
       Items.push_back(std::move(Item));
     const std::uint64_t Known = std::min(Reader.FirstPageRevision, Revision);
     Reader.FirstPageRevision = 0;
-    Reader.StoreAnswers.push_back(
-        [&Reader, Items, Known] { Reader.State->onSnapshot(Items, Known); });
+    Reader.StoreAnswers.push_back([&Reader, Items, Known,
+                                   IsCurrent = Reader.IsCurrent,
+                                   GivenAt = Reader.FirstPageAt] {
+      if (IsCurrent)
+        Reader.Policy.recordAnswer(GivenAt);
+      Reader.State->onSnapshot(Items, Known);
+    });
   }
 
   void watch(Vm &Reader) {
     if (!Reader.State->hasSnapshot() || !Reader.StoreAnswers.empty())
       return;
-    const auto Newest = static_cast<std::uint64_t>(this->History.size());
-    // An answer may tell fewer changes than there are by now.
     const std::uint64_t After = Reader.State->revision();
-    const std::uint64_t UpTo = std::min(Newest, After + this->draw(3));
-    std::vector<StoreChange> Changes(
-        this->History.begin() +
-            static_cast<std::ptrdiff_t>(std::min(After, UpTo)),
-        this->History.begin() + static_cast<std::ptrdiff_t>(UpTo));
-    if (!Changes.empty())
-      Reader.StoreAnswers.push_back(
-          [&Reader, Changes, UpTo] { Reader.State->onChanges(Changes, UpTo); });
+    const auto UpTo = static_cast<std::uint64_t>(this->History.size());
+    std::vector<StoreChange> Changes(this->History.begin() +
+                                         static_cast<std::ptrdiff_t>(After),
+                                     this->History.end());
+    Reader.StoreAnswers.push_back(
+        [&Reader, Changes, UpTo, GivenAt = this->Time.monotonicNow()] {
+          Reader.Policy.recordAnswer(GivenAt);
+          if (!Changes.empty())
+            Reader.State->onChanges(Changes, UpTo);
+        });
+  }
+
+  /// The sender acknowledges a probe that the receiver sends now.
+  void acknowledge(Vm &Receiver, const Vm &Sender) {
+    const common::MonotonicTime Now = this->Time.monotonicNow();
+    Receiver.PeerMessages.push_back([&Receiver,
+                                     At = Now - Sender.Policy.answerAge(Now),
+                                     Revision = Sender.State->revision()] {
+      Receiver.Policy.recordPeerAnswer(At, Revision,
+                                       Receiver.State->revision());
+    });
   }
 
   void pull(Vm &Receiver, const Vm &Sender) {
@@ -118,30 +145,31 @@
       return;
     const PublishedChanges Reply =
         Sender.State->changesSince(Receiver.State->revision());
-    Receiver.PullReplies.push_back(
+    Receiver.PeerMessages.push_back(
         [&Receiver, Reply] { Receiver.State->apply(Reply); });
   }
 
-  /// Delivers one answer. Those of the store arrive in their order, replies of
-  /// peers in any order.
+  /// Delivers one answer. Those of the store arrive in their order, messages
+  /// of peers in any order.
   void deliver(Vm &Receiver) {
     if (!Receiver.StoreAnswers.empty() && this->draw(2) == 0) {
       const auto Answer = std::move(Receiver.StoreAnswers.front());
       Receiver.StoreAnswers.pop_front();
       Answer();
-    } else if (!Receiver.PullReplies.empty()) {
+    } else if (!Receiver.PeerMessages.empty()) {
       const auto It =
-          Receiver.PullReplies.begin() +
-          static_cast<std::ptrdiff_t>(this->draw(Receiver.PullReplies.size()));
+          Receiver.PeerMessages.begin() +
+          static_cast<std::ptrdiff_t>(this->draw(Receiver.PeerMessages.size()));
       const auto Reply = std::move(*It);
-      Receiver.PullReplies.erase(It);
+      Receiver.PeerMessages.erase(It);
       Reply();
     }
   }
 
   void step() {
     Vm &Chosen = this->Vms[this->draw(VmCount)];
-    switch (this->draw(7)) {
+    this->Time.advance(std::chrono::milliseconds(1));
+    switch (this->draw(8)) {
     case 0:
       return this->write();
     case 1:
@@ -154,6 +182,8 @@
       if (this->draw(10) == 0)
         this->restart(Chosen);
       return;
+    case 5:
+      return this->acknowledge(Chosen, this->Vms[this->draw(VmCount)]);
     default:
       return this->deliver(Chosen);
     }
@@ -162,7 +192,21 @@
   /// "Known up to a revision" promises that for each key the VM holds its last
   /// change up to that revision, or a later one.
   bool holdsAllItKnows(const Vm &Checked) const {
-    const std::uint64_t Known = Checked.State->revision();
+    return !Checked.State->hasSnapshot() ||
+           this->holdsAllUpTo(Checked, Checked.State->revision());
+  }
+
+  /// The age of an answer promises the same for all changes before it.
+  bool holdsAllItHeardOf(const Vm &Checked) const {
+    const common::MonotonicTime Now = this->Time.monotonicNow();
+    const common::MonotonicTime InformedAt =
+        Now - Checked.Policy.answerAge(Now);
+    const auto Later = std::ranges::upper_bound(this->WrittenAt, InformedAt);
+    return this->holdsAllUpTo(
+        Checked, static_cast<std::uint64_t>(Later - this->WrittenAt.begin()));
+  }
+
+  bool holdsAllUpTo(const Vm &Checked, std::uint64_t Known) const {
     const std::vector<StoreItem> Items = Checked.State->items();
     for (const std::string Key : Keys) {
       const auto Held = std::ranges::find(Items, Key, &StoreItem::Key);
@@ -195,28 +239,34 @@
   std::mt19937 Luck;
   /// All changes of the store; the revision of each is its position from 1.
   std::vector<StoreChange> History;
+  /// When each of the changes was made.
+  std::vector<common::MonotonicTime> WrittenAt;
   std::array<Vm, VmCount> Vms;
 };
 
-// A VM took a revision for known whose changes it had only in part, and kept an
-// older version of the routes although its peers had the newer one.
-TEST_F(PublishedStatePropagationTest,
-       NoVmClaimsARevisionThatItHoldsOnlyInPart) {
+// A VM took a revision for known whose changes it had only in part, or took
+// itself for informed without them, and kept an older version of the routes.
+TEST_F(PublishedStatePropagationTest, NoVmClaimsMoreThanItHolds) {
   constexpr std::uint32_t Seeds = 2'000;
   constexpr int Steps = 250;
   for (std::uint32_t Seed = 1; Seed <= Seeds; ++Seed) {
     this->Luck.seed(Seed);
     this->History.clear();
+    this->WrittenAt.clear();
     for (int I = 0; I < 4; ++I)
       this->write();
     for (Vm &Each : this->Vms)
       this->restart(Each);
     for (int Step = 0; Step < Steps; ++Step) {
       this->step();
-      for (const Vm &Each : this->Vms)
-        ASSERT_TRUE(!Each.State->hasSnapshot() || this->holdsAllItKnows(Each))
+      for (const Vm &Each : this->Vms) {
+        ASSERT_TRUE(this->holdsAllItKnows(Each))
             << "seed " << Seed << ", step " << Step << ", known up to "
             << Each.State->revision();
+        ASSERT_TRUE(this->holdsAllItHeardOf(Each))
+            << "seed " << Seed << ", step " << Step << ", knows "
+            << Each.State->revision() << " of " << this->History.size();
+      }
     }
   }
 }
--- a/Source/UnitTests/Discovery/StoreFollowerTest.cpp
+++ b/Source/UnitTests/Discovery/StoreFollowerTest.cpp
@@ -32,6 +32,7 @@
 
   void record(const StoreAnswer &Answer) {
     this->Revision = Answer.Revision;
+    this->GivenAt = Answer.GivenAt;
     if (Answer.Consistency == ReadConsistency::Current)
       ++this->Answers;
   }
@@ -55,6 +56,7 @@
   StoreFollower Follower{*this, this->Time, this->Random};
   std::vector<std::size_t> Snapshots;
   std::uint64_t Revision = 0;
+  common::MonotonicTime GivenAt;
   std::size_t Changes = 0;
   int Answers = 0;
   int Outages = 0;
@@ -137,6 +139,19 @@
   EXPECT_EQ(this->Answers, 0);
 }
 
+// A VM that was frozen while it waited took an answer from before the pause for
+// a new one, and its peers did not read the store.
+TEST_F(StoreFollowerTest, AnswerThatWasReceivedAfterAPauseIsDatedBeforeIt) {
+  this->readAll(10);
+  this->Store.Watches = {{StoreStatus::Answered, {}, 10, ""}};
+  this->Store.BeforeWatchAnswer = [this] {
+    this->Time.advance(milliseconds(6'000));
+  };
+  const common::MonotonicTime CalledAt = this->Time.monotonicNow();
+  this->Follower.poll(this->Store, {});
+  EXPECT_LE(this->GivenAt - CalledAt, milliseconds(1'500));
+}
+
 // A waiting call may be interrupted while the store is available, so one
 // failure is not an outage.
 TEST_F(StoreFollowerTest, OneFailedCallIsNotAnOutage) {
--- a/Source/UnitTests/Discovery/StoreReadPolicyTest.cpp
+++ b/Source/UnitTests/Discovery/StoreReadPolicyTest.cpp
@@ -98,6 +98,18 @@
   EXPECT_FALSE(this->mustRead());
 }
 
+// A VM whose pull did not end took its peers' answers for its own, so it
+// neither had the changes nor read the store.
+TEST_F(StoreReadPolicyTest, AnswerOfAPeerCountsOnlyWithWhatThePeerKnows) {
+  this->recordAnswerNow();
+  this->Time.advance(milliseconds(2'200));
+  this->ReadPolicy.recordPeerAnswer(this->Time.monotonicNow(), 9, 8);
+  EXPECT_TRUE(this->mustRead());
+  this->ReadPolicy.recordPeerAnswer(this->Time.monotonicNow(), 9, 9);
+  EXPECT_EQ(this->ReadPolicy.answerAge(this->Time.monotonicNow()),
+            milliseconds(0));
+}
+
 // A late message with an older answer must not change the age of the newest
 // one.
 TEST_F(StoreReadPolicyTest, NewestAnswerDeterminesTheAge) {
