Discovery, Fleet: replace silent readers of the store before they are lost

What callers could see: both readers lose power in their pause after an answer, and a version that was confirmed just after it is in force near the bound or later.

Cause: a VM counts as lost after 3 s, the bound itself. Until then it stays elected and keeps its rank among those that read when no answer is heard of, so the others begin 2.1 to 2.55 s after the last answer.

Change: a VM that has left a probe unanswered for a second is passed over in the election of readers and in the ranks (FleetView::SilentVms, StoreReaderElection).

--- a/Source/Discovery/StoreAnswer.h
+++ b/Source/Discovery/StoreAnswer.h
@@ -15,8 +15,8 @@
   std::uint64_t Revision = 0;
   /// When the first call of the answer was made.
   common::MonotonicTime CalledAt;
-  /// The content is at least as new as the store was at this time. An answer
-  /// may wait in a buffer while the VM is paused.
+  /// The latest time at which the store can have given the answer, which may
+  /// have waited in a buffer while this VM was paused.
   common::MonotonicTime GivenAt;
   /// When the answer was complete.
   common::MonotonicTime ReceivedAt;
--- a/Source/Fleet/FleetAgent.cpp
+++ b/Source/Fleet/FleetAgent.cpp
@@ -241,8 +241,12 @@
                             Status.CapacityMilliCores, Status.BusyPerMille});
   };
   AddMember(this->ownStatus());
-  for (const membership::PeerRecord *Peer : this->Fleet.livePeers())
+  for (const membership::PeerRecord *Peer : this->Fleet.livePeers()) {
     AddMember(Peer->Status);
+    if (Peer->UnansweredSince &&
+        Now - *Peer->UnansweredSince >= membership::MaxEvidenceAge)
+      View.SilentVms.insert(Peer->Status.Vm);
+  }
   View.ServingCount = static_cast<unsigned>(Candidates.size());
   View.PlacedVms = this->Placement.choose(Candidates, Now);
   this->Placed = View.PlacedVms;
--- a/Source/Fleet/FleetView.h
+++ b/Source/Fleet/FleetView.h
@@ -14,6 +14,8 @@
   std::vector<routing::AddressCandidate> EntryVms;
   /// All VMs that are not known to be lost or leaving, including this one.
   std::vector<common::VmId> LiveVms;
+  /// The live VMs that have left a probe unanswered for MaxEvidenceAge.
+  std::set<common::VmId> SilentVms;
   /// Whether all known addresses of VMs have been probed.
   bool IsComplete = true;
   /// Number of live VMs that are serving.
--- a/Source/Node/NodeController.cpp
+++ b/Source/Node/NodeController.cpp
@@ -1,6 +1,6 @@
 #include "Node/NodeController.h"
 
-#include "Configuration/ReaderElection.h"
+#include "Discovery/StoreReaderElection.h"
 
 #include <algorithm>
 #include <utility>
@@ -149,8 +149,12 @@
 void NodeController::onFleetView(const fleet::FleetView &View) {
   this->Traffic.setFleet(View);
   const common::MonotonicTime Now = this->Time.monotonicNow();
+  std::vector<common::VmId> Responsive = View.LiveVms;
+  std::erase_if(Responsive, [&View](const common::VmId &Vm) {
+    return View.SilentVms.contains(Vm);
+  });
   const auto Rank =
-      discovery::FallbackRank::of(View.EntryVms.front().Vm, View.LiveVms);
+      discovery::FallbackRank::of(View.EntryVms.front().Vm, Responsive);
   const bool IsElected = this->isElected(View);
   const bool HasSnapshot = this->Published.hasSnapshot();
   const bool MustRead =
@@ -187,27 +191,12 @@
   return this->ReadPolicy.answerAge(this->Time.monotonicNow());
 }
 
-// Placed VMs are elected because their peers probe them most often, so that the
-// other VMs soon learn of an answer of the store. There is one election for the
-// whole fleet instead of one for each failure domain, since a VM that learns of
-// no fresh answer reads the store itself.
 // While addresses of the fleet have not been probed yet, each VM would be among
 // the best of those that it knows.
 bool NodeController::isElected(const fleet::FleetView &View) const {
-  if (!View.IsComplete)
-    return false;
-  std::vector<configuration::ReaderCandidate> Candidates;
-  const auto Add = [&](const common::VmId &Vm) {
-    Candidates.push_back({Vm, "", membership::ServingState::Serving});
-  };
-  // Before the first configuration no VM serves; any live VM may then be
-  // elected to read it.
-  if (View.PlacedVms.empty())
-    std::ranges::for_each(View.LiveVms, Add);
-  else
-    std::ranges::for_each(View.PlacedVms, Add);
-  return configuration::ReaderElection::elect(Candidates)
-      .contains(View.EntryVms.front().Vm);
+  return View.IsComplete && discovery::StoreReaderElection::isElected(
+                                View.EntryVms.front().Vm, View.PlacedVms,
+                                View.LiveVms, View.SilentVms);
 }
 
 unsigned NodeController::busyPerMille() const { return this->Busy.perMille(); }
