--- a/Source/Fleet/PublishedStateExchange.h
+++ b/Source/Fleet/PublishedStateExchange.h
@@ -4,11 +4,11 @@
 #include "Common/Clock.h"
 #include "Discovery/PublishedState.h"
 #include "Fleet/PublishedStateListener.h"
-#include "Fleet/PullSchedule.h"
 #include "Logging/EventLog.h"
 #include "Membership/MemberStatus.h"
 #include "Peering/ConfigurationSource.h"
 #include "Peering/PullListener.h"
+#include "Peering/PullSchedule.h"
 #include "Peering/TransferClient.h"
 #include "Peering/TransferServer.h"
 
@@ -47,7 +47,7 @@
   logging::EventLog &Log;
   peering::TransferServer Server;
   peering::TransferClient Client;
-  PullSchedule Pulls;
+  peering::PullSchedule Pulls;
   /// The first newer revision that this VM heard of, and when.
   std::uint64_t HeardRevision = 0;
   common::MonotonicTime HeardAt;
--- a/Source/Peering/ConfigurationSync.cpp
+++ b/Source/Peering/ConfigurationSync.cpp
@@ -77,7 +77,7 @@
       PullState.PeerDigest != Status.ConfigurationDigest)
     PullState = {this->OwnDigest, Status.ConfigurationDigest, Now, Now};
   const bool IsAhead = Status.RevisionInEffect > this->OwnRevision;
-  if (this->IsPulling || Now < PullState.NextPullAt ||
+  if (!this->Pulls.mayBegin(From, Now) || Now < PullState.NextPullAt ||
       (Status.RevisionInEffect < this->OwnRevision &&
        Now - PullState.FirstSeenAt < BehindDelay))
     return;
@@ -89,7 +89,8 @@
   else
     Pull.KnownRevisions = this->State.configuration().revisions();
   PullState.NextPullAt = Now + (IsAhead ? AheadDelay : UnchangedDelay);
-  this->IsPulling = this->Client.pull(From, Pull);
+  if (this->Client.pull(From, Pull))
+    this->Pulls.begin(From, Now);
 }
 
 ConfigurationChangesMessage
@@ -104,7 +105,7 @@
 
 void ConfigurationSync::onChanges(const common::Address &From,
                                   const ConfigurationChangesMessage &Message) {
-  this->IsPulling = false;
+  this->Pulls.end(From, this->Time.monotonicNow());
   const std::string Cause = "peer " + From.toString();
   std::size_t Accepted = 0;
   for (const configuration::ConfigurationChange &Change : Message.Changes) {
@@ -121,11 +122,12 @@
 }
 
 void ConfigurationSync::onPullFailed(const common::Address &From) {
-  this->IsPulling = false;
+  const common::MonotonicTime Now = this->Time.monotonicNow();
+  this->Pulls.end(From, Now);
   // The states of all peers may have been dropped since the pull began.
   const auto Found = this->PullStates.find(From);
   if (Found != this->PullStates.end())
-    Found->second.NextPullAt = this->Time.monotonicNow() + FailureDelay;
+    Found->second.NextPullAt = Now + FailureDelay;
 }
 
 } // namespace acaciacross::peering
--- a/Source/Peering/ConfigurationSync.h
+++ b/Source/Peering/ConfigurationSync.h
@@ -7,6 +7,7 @@
 #include "Peering/ConfigurationSource.h"
 #include "Peering/PeerPullState.h"
 #include "Peering/PullListener.h"
+#include "Peering/PullSchedule.h"
 #include "Peering/TransferClient.h"
 
 #include <cstdint>
@@ -51,7 +52,7 @@
   std::uint64_t OwnDigest = 0;
   common::Revision OwnRevision;
   std::map<common::Address, PeerPullState> PullStates;
-  bool IsPulling = false;
+  PullSchedule Pulls;
   // Declared last and so destroyed first, because it calls this object as long
   // as it exists.
   TransferClient Client;
--- a/Source/Fleet/PullSchedule.cpp
+++ b/Source/Peering/PullSchedule.cpp
@@ -1,8 +1,8 @@
-#include "Fleet/PullSchedule.h"
+#include "Peering/PullSchedule.h"
 
 #include <algorithm>
 
-namespace acaciacross::fleet {
+namespace acaciacross::peering {
 
 namespace {
 
@@ -34,4 +34,4 @@
   return Duration;
 }
 
-} // namespace acaciacross::fleet
+} // namespace acaciacross::peering
--- a/Source/Fleet/PullSchedule.h
+++ b/Source/Peering/PullSchedule.h
@@ -1,5 +1,5 @@
-#ifndef ACACIACROSS_FLEET_PULLSCHEDULE_H
-#define ACACIACROSS_FLEET_PULLSCHEDULE_H
+#ifndef ACACIACROSS_PEERING_PULLSCHEDULE_H
+#define ACACIACROSS_PEERING_PULLSCHEDULE_H
 
 #include "Common/Address.h"
 #include "Common/Time.h"
@@ -7,7 +7,7 @@
 #include <chrono>
 #include <map>
 
-namespace acaciacross::fleet {
+namespace acaciacross::peering {
 
 /// Decides whether to pull from a peer that knows a newer revision. One pull is
 /// enough while its peer may still answer; another peer is asked when it takes
@@ -27,6 +27,6 @@
   std::map<common::Address, common::MonotonicTime> Running;
 };
 
-} // namespace acaciacross::fleet
+} // namespace acaciacross::peering
 
 #endif
--- a/Source/UnitTests/Fleet/PullScheduleTest.cpp
+++ b/Source/UnitTests/Peering/PullScheduleTest.cpp
@@ -1,10 +1,10 @@
-#include "Fleet/PullSchedule.h"
+#include "Peering/PullSchedule.h"
 
 #include "TestSupport/ManualClock.h"
 
 #include <gtest/gtest.h>
 
-namespace acaciacross::fleet {
+namespace acaciacross::peering {
 
 using std::chrono::milliseconds;
 
@@ -47,4 +47,4 @@
   EXPECT_TRUE(this->mayBegin(this->First));
 }
 
-} // namespace acaciacross::fleet
+} // namespace acaciacross::peering
