--- a/Source/UnitTests/Fleet/PublishedStateExchangeTest.cpp
+++ b/Source/UnitTests/Fleet/PublishedStateExchangeTest.cpp
@@ -7,7 +7,9 @@
 #include <gtest/gtest.h>
 
 #include <ace/Dev_Poll_Reactor.h>
+#include <ace/INET_Addr.h>
 #include <ace/Reactor.h>
+#include <ace/SOCK_Acceptor.h>
 #include <fcntl.h>
 
 #include <functional>
@@ -102,6 +104,26 @@
   EXPECT_EQ(this->RevisionTold, 9U);
 }
 
+// A VM pulled a version from a peer that froze in that moment, and asked no
+// other one for 3 s: the version was in force too late.
+TEST_F(PublishedStateExchangeTest, SilentPeerDoesNotKeepChangesOfOthersBack) {
+  const common::Address SilentAddress = testsupport::findFreeAddress();
+  ACE_SOCK_Acceptor Silent(
+      ACE_INET_Addr(SilentAddress.Port, SilentAddress.Host.c_str()));
+  membership::MemberStatus Status;
+  Status.RevisionInEffect = common::Revision(9);
+  this->SecondExchange.onPeerStatus(SilentAddress, Status);
+  this->First.onSnapshot({{"a", "x", 3}}, 9);
+  const auto Start = this->Time.monotonicNow();
+  while (this->Second.revision() < 9 &&
+         this->Time.monotonicNow() < Start + std::chrono::seconds(10)) {
+    this->SecondExchange.onPeerStatus(this->FirstAddress, Status);
+    ACE_Time_Value Wait(0, 10'000);
+    this->Events.handle_events(Wait);
+  }
+  EXPECT_LT(this->Time.monotonicNow() - Start, std::chrono::seconds(2));
+}
+
 // Sending all items in each round would exceed the budget of control messages.
 TEST_F(PublishedStateExchangeTest, VmThatMissedOneChangeGetsOnlyThatChange) {
   for (discovery::PublishedState *State : {&this->First, &this->Second})
