--- a/Source/Discovery/PublishedState.cpp
+++ b/Source/Discovery/PublishedState.cpp
@@ -21,7 +21,7 @@
                                logging::EventLog &Log)
     : Decoder(Decoder), Time(Time), Log(Log) {}
 
-void PublishedState::onSnapshot(std::vector<StoreItem> Items,
+void PublishedState::onSnapshot(const std::vector<StoreItem> &Items,
                                 std::uint64_t Revision) {
   std::set<std::string> Present;
   for (const StoreItem &Item : Items) {
@@ -44,7 +44,7 @@
   this->HasSnapshot = true;
 }
 
-void PublishedState::onChanges(std::vector<StoreChange> Changes,
+void PublishedState::onChanges(const std::vector<StoreChange> &Changes,
                                std::uint64_t Revision) {
   this->KnownRevision = std::max(this->KnownRevision, Revision);
   for (const StoreChange &Change : Changes) {
@@ -154,12 +154,12 @@
     Items.reserve(FromPeer.Changes.size());
     for (StoreChange &Change : FromPeer.Changes)
       Items.push_back(std::move(Change.Item));
-    this->onSnapshot(std::move(Items), FromPeer.Revision);
+    this->onSnapshot(Items, FromPeer.Revision);
     return;
   }
   if (!this->HasSnapshot)
     return;
-  this->onChanges(std::move(FromPeer.Changes), FromPeer.Revision);
+  this->onChanges(FromPeer.Changes, FromPeer.Revision);
 }
 
 std::vector<StoreItem> PublishedState::items() const {
--- a/Source/Discovery/PublishedState.h
+++ b/Source/Discovery/PublishedState.h
@@ -30,9 +30,10 @@
                  logging::EventLog &Log);
 
   /// All items that were published at the revision have been read.
-  void onSnapshot(std::vector<StoreItem> Items, std::uint64_t Revision);
+  void onSnapshot(const std::vector<StoreItem> &Items, std::uint64_t Revision);
   /// With the changes all up to the revision are known.
-  void onChanges(std::vector<StoreChange> Changes, std::uint64_t Revision);
+  void onChanges(const std::vector<StoreChange> &Changes,
+                 std::uint64_t Revision);
   void onCallFailed(const std::string &Problem,
                     std::chrono::milliseconds Duration);
   void onUnavailable(const std::string &Problem);
--- a/Source/Programs/OperatorCli/VersionSpread.cpp
+++ b/Source/Programs/OperatorCli/VersionSpread.cpp
@@ -1,8 +1,9 @@
 #include "Programs/OperatorCli/VersionSpread.h"
 
-#include "Programs/OperatorCli/TextTable.h"
 #include "Json/JsonWriter.h"
 
+#include "Programs/OperatorCli/TextTable.h"
+
 #include <algorithm>
 #include <array>
 #include <cmath>
