--- a/Source/Discovery/PublishedChanges.h
+++ b/Source/Discovery/PublishedChanges.h
@@ -11,7 +11,7 @@
 /// What a VM passes on of the published state to a peer that knows all changes
 /// up to some revision.
 struct PublishedChanges {
-  /// The last change of each key, oldest first.
+  /// The last change of each key; oldest first unless these are all items.
   std::vector<StoreChange> Changes;
   /// Whether these are all items instead of the changes; keys that are not
   /// among them have been removed.
