UnitTests: fixture of PublishedStateTest no longer depends on the order of arguments

Cause: the fixture increments Revision in one argument of onChanges and reads it in the next. The order of evaluation of arguments is unspecified: GCC on x86-64 reads the old value, on arm64 the new one. Change: increment first, then call. No check is changed.

--- a/Source/UnitTests/Discovery/PublishedStateTest.cpp
+++ b/Source/UnitTests/Discovery/PublishedStateTest.cpp
@@ -15,13 +15,14 @@
 class PublishedStateTest : public testing::Test {
 protected:
   void change(const std::string &Key, const std::string &Value) {
-    this->State.onChanges({{{Key, Value, ++this->Revision}, false}},
+    ++this->Revision;
+    this->State.onChanges({{{Key, Value, this->Revision}, false}},
                           this->Revision);
   }
 
   void remove(const std::string &Key) {
-    this->State.onChanges({{{Key, "", ++this->Revision}, true}},
-                          this->Revision);
+    ++this->Revision;
+    this->State.onChanges({{{Key, "", this->Revision}, true}}, this->Revision);
   }
 
   std::size_t searcherCount() const { return this->State.searchers().size(); }
