Discovery, Forwarding: nothing is sent to an evacuated failure domain

Nothing read the key: StoreItemDecoder took it for one of another program.

Evidence: no caller of the key in the code. With the gate in ReplicaRecord::isListed, the hold of PublishedState and the fixed value for peers taken out again, 14 of the new tests fail; with the checks of UpstreamSender taken out, UpstreamSenderTest.AttemptInAnEvacuatedDomainIsTakenBackAtOnce, .RequestIsNotSentOnAConnectionThatIsSetUpTooLate and .WaitingListenerIsNotifiedWhenNoSearcherIsLeft.

Change: the key is decoded into PublishedItem::EvacuatedDomain; EvacuatedDomains decides which domains are evacuated.

The set reaches the traffic thread together with the searchers; ServiceRegistry marks their records, also those listed later, and isListed is false, which is the gate for every kind of attempt. Attempts whose connection is being set up are taken back at once, and requests that wait for a connection of a service without a listed searcher are refused at once. Both hold for searchers that left the store, too; idle connections to searchers that are no longer listed are closed. An odd key is logged once and neither kept nor passed on; one over 200 bytes would end transfers between peers. bounds.evacuate_ms counts among the bounds for changes.

Ruled out: dropping the entries in PublishedState (what was learnt of the searchers would be lost, and peers need the entries); a check in the selector only (admission, forecast and connection set-up would each need their own).

Open: a VM that starts from a stale page without a peer learns of an evacuation younger than that page from its own read, 1.5 s later.

--- a/Source/Discovery/ItemDecoder.h
+++ b/Source/Discovery/ItemDecoder.h
@@ -14,7 +14,7 @@
   virtual ~ItemDecoder() = default;
 
   /// Whether this VM uses the values of the key. Values of other keys belong to
-  /// other programs.
+  /// other programs, or their key is malformed; decode tells of the latter.
   virtual bool isUsed(const std::string &Key) const = 0;
   virtual PublishedItem decode(const StoreItem &Item) const = 0;
 };
--- a/Source/Discovery/PublishedItem.h
+++ b/Source/Discovery/PublishedItem.h
@@ -16,7 +16,10 @@
 struct PublishedItem {
   std::optional<forwarding::SearcherEntry> Searcher;
   std::shared_ptr<const forwarding::RoutingTable> Table;
-  /// Why the value is malformed; empty if it is valid or not used.
+  /// The failure domain whose searchers must get nothing while the key exists;
+  /// empty for other keys. The key says everything; its value is not used.
+  std::string EvacuatedDomain;
+  /// Why the key or the value is malformed; empty if it is valid or not used.
   std::string Problem;
   /// What an otherwise valid value has left out, and why.
   std::vector<std::string> LeftOut;
--- a/Source/Discovery/PublishedState.cpp
+++ b/Source/Discovery/PublishedState.cpp
@@ -13,13 +13,16 @@
 // Several times the number of keys of a deployment. Removed keys are kept for
 // peers that have not received their removal.
 constexpr std::size_t MaxRecordedChanges = 4'000;
+// What peers are told as the value of a key that says everything itself. Peers
+// take an empty value for a removal.
+constexpr const char *ValueOfBareKey = "{}";
 
 } // namespace
 
 PublishedState::PublishedState(const ItemDecoder &Decoder,
                                const common::Clock &Time,
                                logging::EventLog &Log)
-    : Decoder(Decoder), Time(Time), Log(Log) {}
+    : Decoder(Decoder), Time(Time), Log(Log), Evacuated(Log) {}
 
 void PublishedState::onSnapshot(const std::vector<StoreItem> &Items,
                                 std::uint64_t Revision) {
@@ -87,6 +90,7 @@
   for (auto &[Key, Record] : this->Entries)
     if (Record.RetainedUntil == common::MonotonicTime::max())
       Record.RetainedUntil = this->RetainRemovedUntil;
+  this->Evacuated.limitHolds(this->RetainRemovedUntil);
   this->Log.write(
       logging::LogRecord(common::LogEvent::StoreAvailable)
           .milliseconds("away_ms", Now - this->UnavailableSince.value_or(Now)));
@@ -105,6 +109,8 @@
       Expired.push_back(Key);
   for (const std::string &Key : Expired)
     this->eraseEntry(Key, "did not return after an outage of the store");
+  if (this->Evacuated.expire(Now))
+    ++this->ChangeCount;
 }
 
 std::vector<forwarding::SearcherEntry> PublishedState::searchers() const {
@@ -115,6 +121,10 @@
   return Result;
 }
 
+std::set<std::string> PublishedState::evacuatedDomains() const {
+  return this->Evacuated.names();
+}
+
 const std::shared_ptr<const forwarding::RoutingTable> &
 PublishedState::table() const {
   return this->Table;
@@ -227,21 +237,30 @@
 }
 
 void PublishedState::applyItem(const StoreItem &Item) {
-  if (!this->Decoder.isUsed(Item.Key) ||
-      !this->isNewer(Item.Key, Item.Revision))
+  if (!this->Decoder.isUsed(Item.Key)) {
+    this->logProblem(Item, this->Decoder.decode(Item).Problem);
+    return;
+  }
+  if (!this->isNewer(Item.Key, Item.Revision))
     return;
   PublishedItem Decoded = this->Decoder.decode(Item);
   if (!Decoded.Problem.empty()) {
     this->applyMalformed(Item, Decoded.Problem);
     return;
   }
-  this->recordChange({Item, false});
+  const bool IsBareKey = !Decoded.EvacuatedDomain.empty();
+  this->recordChange(
+      {{Item.Key, IsBareKey ? ValueOfBareKey : Item.Value, Item.Revision},
+       false});
   this->Problems.erase(Item.Key);
   this->logLeftOut(Item, Decoded.LeftOut);
   if (Decoded.Searcher)
     this->updateSearcher(Item, std::move(*Decoded.Searcher));
   if (Decoded.Table != nullptr)
     this->updateTable(Item, std::move(Decoded.Table));
+  if (IsBareKey && this->Evacuated.add(Item.Key, Decoded.EvacuatedDomain,
+                                       this->Time.monotonicNow()))
+    ++this->ChangeCount;
 }
 
 // Peers are told of a removal, so that a value that no VM can use goes no
@@ -250,10 +269,19 @@
                                     const std::string &Problem) {
   this->recordChange({{Item.Key, "", Item.Revision}, true});
   this->eraseEntry(Item.Key, "its entry is malformed");
-  std::string &Logged = this->Problems[Item.Key];
-  if (Logged == Problem)
+  this->logProblem(Item, Problem);
+}
+
+void PublishedState::logProblem(const StoreItem &Item,
+                                const std::string &Problem) {
+  if (Problem.empty())
+    return;
+  const auto Logged = this->Problems.find(Item.Key);
+  const bool IsKnown = Logged != this->Problems.end();
+  if (IsKnown ? Logged->second == Problem
+              : this->Problems.size() >= MaxRecordedChanges)
     return;
-  Logged = Problem;
+  this->Problems.insert_or_assign(Item.Key, Problem);
   this->Log.write(
       logging::LogRecord(common::LogEvent::EntryMalformed)
           .text("key", Item.Key)
@@ -311,23 +339,30 @@
 // The entry of a draining searcher is not retained, because the searcher does
 // not register again.
 void PublishedState::removeEntry(const std::string &Key) {
+  const std::optional<common::MonotonicTime> RetainedUntil =
+      this->retentionEnd();
+  if (this->Evacuated.remove(Key, RetainedUntil, this->Time.monotonicNow()))
+    ++this->ChangeCount;
   const auto It = this->Entries.find(Key);
   if (It == this->Entries.end())
     return;
   SearcherRecord &Record = It->second;
-  // During an outage a peer may pass on removals before this VM hears that the
-  // store is back.
-  const bool IsAway = this->UnavailableSince.has_value();
-  const bool MayReturn =
-      (IsAway || this->Time.monotonicNow() < this->RetainRemovedUntil) &&
-      !Record.Entry.IsDraining;
-  if (!MayReturn) {
+  if (!RetainedUntil || Record.Entry.IsDraining) {
     this->eraseEntry(Key, "its entry was removed");
     return;
   }
   if (!Record.RetainedUntil)
-    Record.RetainedUntil =
-        IsAway ? common::MonotonicTime::max() : this->RetainRemovedUntil;
+    Record.RetainedUntil = RetainedUntil;
+}
+
+// During an outage a peer may pass on removals before this VM hears that the
+// store is back.
+std::optional<common::MonotonicTime> PublishedState::retentionEnd() const {
+  if (this->UnavailableSince)
+    return common::MonotonicTime::max();
+  if (this->Time.monotonicNow() < this->RetainRemovedUntil)
+    return this->RetainRemovedUntil;
+  return std::nullopt;
 }
 
 void PublishedState::eraseEntry(const std::string &Key, const char *Reason) {
--- a/Source/Discovery/PublishedState.h
+++ b/Source/Discovery/PublishedState.h
@@ -2,6 +2,7 @@
 #define ACACIACROSS_DISCOVERY_PUBLISHEDSTATE_H
 
 #include "Common/Clock.h"
+#include "Discovery/EvacuatedDomains.h"
 #include "Discovery/ItemDecoder.h"
 #include "Discovery/PublishedChanges.h"
 #include "Discovery/StoreChange.h"
@@ -43,10 +44,12 @@
   /// A peer has heard of an answer of the store that was given at the time.
   void onPeerAnswered(common::MonotonicTime At);
 
-  /// Removes retained entries whose retention time is over.
+  /// Removes retained entries, and ends held evacuations, whose time is over.
   void expire();
 
   std::vector<forwarding::SearcherEntry> searchers() const;
+  /// The failure domains whose searchers must get nothing.
+  std::set<std::string> evacuatedDomains() const;
   /// The newest routing table; null until one is known.
   const std::shared_ptr<const forwarding::RoutingTable> &table() const;
   /// When the table was accepted.
@@ -64,7 +67,8 @@
   std::vector<StoreChange> changesAfter(std::uint64_t Revision) const;
   /// All items that are published at the known revision.
   std::vector<StoreItem> items() const;
-  /// Counts the changes of the results of searchers() and table().
+  /// Counts the changes of the results of searchers(), evacuatedDomains() and
+  /// table().
   std::uint64_t changes() const;
   bool hasSnapshot() const;
 
@@ -84,6 +88,8 @@
   void applyRemoval(const std::string &Key, std::uint64_t Revision);
   void applyItem(const StoreItem &Item);
   void applyMalformed(const StoreItem &Item, const std::string &Problem);
+  /// Logs why the key or the value is malformed, unless it has been logged.
+  void logProblem(const StoreItem &Item, const std::string &Problem);
   /// Logs what a routing table has left out.
   void logLeftOut(const StoreItem &Item,
                   const std::vector<std::string> &LeftOut);
@@ -91,12 +97,16 @@
   void updateTable(const StoreItem &Item,
                    std::shared_ptr<const forwarding::RoutingTable> Newer);
   void removeEntry(const std::string &Key);
+  /// Until when something that was removed now is retained; empty when it is
+  /// not.
+  std::optional<common::MonotonicTime> retentionEnd() const;
   void eraseEntry(const std::string &Key, const char *Reason);
 
   const ItemDecoder &Decoder;
   const common::Clock &Time;
   logging::EventLog &Log;
   std::map<std::string, SearcherRecord> Entries;
+  EvacuatedDomains Evacuated;
   std::shared_ptr<const forwarding::RoutingTable> Table;
   common::MonotonicTime TableAcceptedAt;
   /// The last change of each key, including removals.
--- a/Source/Forwarding/ReplicaRecord.cpp
+++ b/Source/Forwarding/ReplicaRecord.cpp
@@ -66,8 +66,13 @@
 
 void ReplicaRecord::markRemoved() { this->Removed = true; }
 
+void ReplicaRecord::setEvacuated(bool NewEvacuated) {
+  this->Evacuated = NewEvacuated;
+}
+
 bool ReplicaRecord::isListed() const {
-  return !this->Removed && !this->Entry.IsDraining && !this->Leaving;
+  return !this->Removed && !this->Entry.IsDraining && !this->Leaving &&
+         !this->Evacuated;
 }
 
 bool ReplicaRecord::isUsable(common::MonotonicTime Now) const {
--- a/Source/Forwarding/ReplicaRecord.h
+++ b/Source/Forwarding/ReplicaRecord.h
@@ -21,8 +21,10 @@
   /// if the searcher was restarted.
   void update(SearcherEntry Published);
   void markRemoved();
-  /// Whether the searcher is published, not draining and has not announced in
-  /// a response that it leaves.
+  /// Whether the failure domain of the searcher is evacuated.
+  void setEvacuated(bool NewEvacuated);
+  /// Whether the searcher is published, not draining, not in an evacuated
+  /// failure domain and has not announced in a response that it leaves.
   bool isListed() const;
   /// Whether an attempt may be sent to the searcher now: it is listed,
   /// reachable and has not asked for a pause.
@@ -76,6 +78,7 @@
   SearcherEntry Entry;
   bool Removed = false;
   bool Leaving = false;
+  bool Evacuated = false;
   common::MonotonicTime PausedUntil;
   std::multiset<common::MonotonicTime> Outstanding;
   double LatencyRatio = 1.0;
--- a/Source/Forwarding/ServiceRegistry.cpp
+++ b/Source/Forwarding/ServiceRegistry.cpp
@@ -1,6 +1,5 @@
 #include "Forwarding/ServiceRegistry.h"
 
-#include <set>
 #include <utility>
 
 namespace acaciacross::forwarding {
@@ -8,6 +7,13 @@
 ServiceRegistry::ServiceRegistry(RetryBudgetSettings BudgetSettings)
     : BudgetSettings(BudgetSettings) {}
 
+void ServiceRegistry::setEvacuatedDomains(std::set<std::string> Domains) {
+  this->EvacuatedDomains = std::move(Domains);
+  for (const auto &[Id, Record] : this->Searchers)
+    Record->setEvacuated(
+        this->EvacuatedDomains.contains(Record->entry().FailureDomain));
+}
+
 void ServiceRegistry::setSearchers(const std::vector<SearcherEntry> &Entries) {
   std::map<common::SearcherId, std::shared_ptr<ReplicaRecord>> Listed;
   this->ByService.clear();
@@ -22,6 +28,7 @@
       Record = std::make_shared<ReplicaRecord>(Entry);
       this->Notices.applyTo(*Record);
     }
+    Record->setEvacuated(this->EvacuatedDomains.contains(Entry.FailureDomain));
     this->ByService[Entry.Service].push_back(Record);
     Listed.emplace(Entry.Id, std::move(Record));
   }
@@ -109,6 +116,10 @@
 
 const FleetShare &ServiceRegistry::fleet() const { return this->Fleet; }
 
+const std::set<std::string> &ServiceRegistry::evacuatedDomains() const {
+  return this->EvacuatedDomains;
+}
+
 const std::map<common::SearcherId, std::shared_ptr<ReplicaRecord>> &
 ServiceRegistry::allSearchers() const {
   return this->Searchers;
--- a/Source/Forwarding/ServiceRegistry.h
+++ b/Source/Forwarding/ServiceRegistry.h
@@ -15,6 +15,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -28,6 +29,9 @@
 public:
   explicit ServiceRegistry(RetryBudgetSettings BudgetSettings);
 
+  /// Replaces the set of failure domains whose searchers must get nothing, both
+  /// for the searchers that are published and for those that will be.
+  void setEvacuatedDomains(std::set<std::string> Domains);
   /// Replaces the list of published searchers.
   void setSearchers(const std::vector<SearcherEntry> &Entries);
   /// Replaces the routing table and drops the state of routes that it no longer
@@ -48,6 +52,7 @@
   RouteLatency latency(const Route &Target) const;
   WeightedRoundRobin &serviceRotation(const std::string &RouteName);
   const FleetShare &fleet() const;
+  const std::set<std::string> &evacuatedDomains() const;
   const std::map<common::SearcherId, std::shared_ptr<ReplicaRecord>> &
   allSearchers() const;
 
@@ -56,6 +61,7 @@
   FleetShare Fleet;
   std::shared_ptr<const RoutingTable> Table;
   SearcherNotices Notices;
+  std::set<std::string> EvacuatedDomains;
   std::map<common::SearcherId, std::shared_ptr<ReplicaRecord>> Searchers;
   std::unordered_map<common::ServiceName,
                      std::vector<std::shared_ptr<ReplicaRecord>>>
--- a/Source/Gateway/ConnectionWaiters.cpp
+++ b/Source/Gateway/ConnectionWaiters.cpp
@@ -7,6 +7,14 @@
   this->ListenersByService[Service].push_back(&Listener);
 }
 
+std::vector<common::ServiceName> ConnectionWaiters::services() const {
+  std::vector<common::ServiceName> Result;
+  Result.reserve(this->ListenersByService.size());
+  for (const auto &[Service, Listeners] : this->ListenersByService)
+    Result.push_back(Service);
+  return Result;
+}
+
 std::size_t ConnectionWaiters::count(const common::ServiceName &Service) const {
   const auto Found = this->ListenersByService.find(Service);
   return Found == this->ListenersByService.end() ? 0 : Found->second.size();
--- a/Source/Gateway/ConnectionWaiters.h
+++ b/Source/Gateway/ConnectionWaiters.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <deque>
 #include <map>
+#include <vector>
 
 namespace acaciacross::gateway {
 
@@ -16,6 +17,8 @@
 public:
   void add(const common::ServiceName &Service,
            forwarding::AttemptListener &Listener);
+  /// The services for which a listener waits.
+  std::vector<common::ServiceName> services() const;
   std::size_t count(const common::ServiceName &Service) const;
   /// Removes and returns the first listener; null when there is none.
   forwarding::AttemptListener *takeFirst(const common::ServiceName &Service);
--- a/Source/Gateway/UpstreamSender.cpp
+++ b/Source/Gateway/UpstreamSender.cpp
@@ -3,9 +3,11 @@
 #include "Gateway/ConnectionShare.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace acaciacross::gateway {
 
@@ -21,6 +23,13 @@
          forwarding::Repeatability::AtMostOnce;
 }
 
+bool hasListedReplica(const forwarding::ServiceRegistry &Registry,
+                      const common::ServiceName &Service) {
+  return std::ranges::any_of(
+      Registry.replicas(Service),
+      [](const auto &Replica) { return Replica->isListed(); });
+}
+
 } // namespace
 
 UpstreamSender::UpstreamSender(net::EventLoop &Loop,
@@ -116,21 +125,37 @@
   this->Waiters.remove(Listener);
 }
 
+void UpstreamSender::withdrawUnlisted() {
+  std::vector<forwarding::AttemptNumber> Unsent;
+  for (const auto &[Number, Attempt] : this->Attempts)
+    if (!Attempt.Connection->isConnected() && !Attempt.Replica->isListed())
+      Unsent.push_back(Number);
+  // The listener of one attempt may end or start others.
+  for (const forwarding::AttemptNumber Number : Unsent)
+    if (const auto Found = this->Attempts.find(Number);
+        Found != this->Attempts.end())
+      this->withdraw(Found);
+  for (const common::ServiceName &Service : this->Waiters.services())
+    if (!hasListedReplica(this->Registry, Service))
+      this->notifyConnectionAvailable(Service);
+}
+
 void UpstreamSender::closeUnlisted() {
   std::set<common::SearcherId> Used;
   for (const auto &[Number, Attempt] : this->Attempts)
     Used.insert(Attempt.Replica->entry().Id);
   std::set<common::SearcherId> Listed;
   if (this->Registry.table() != nullptr)
-    for (const auto &Record : this->Registry.allSearchers())
-      Listed.insert(Record.first);
+    for (const auto &[Id, Record] : this->Registry.allSearchers())
+      if (Record->isListed())
+        Listed.insert(Id);
   for (auto It = this->Pools.begin(); It != this->Pools.end();) {
-    if (Listed.contains(It->first) || Used.contains(It->first)) {
+    if (Listed.contains(It->first)) {
       ++It;
       continue;
     }
     It->second.closeIdle();
-    It = this->Pools.erase(It);
+    It = Used.contains(It->first) ? std::next(It) : this->Pools.erase(It);
   }
 }
 
@@ -164,7 +189,7 @@
     return;
   const auto It = this->Attempts.find(Found->second);
   const forwarding::ReplicaRecord &Replica = *It->second.Replica;
-  if (Replica.isLeaving() || Replica.isPaused(this->Loop.now()))
+  if (!Replica.isListed() || Replica.isPaused(this->Loop.now()))
     this->withdraw(It);
   else
     this->send(It->second);
@@ -254,8 +279,8 @@
   this->notifyConnectionAvailable(Attempt.Replica->entry().Service);
 }
 
-// The searcher has announced that it leaves, or asked for a pause, while the
-// connection was set up.
+// While the connection was set up, the searcher has announced that it leaves or
+// asked for a pause, its entry was removed, or its failure domain evacuated.
 void UpstreamSender::withdraw(AttemptMap::iterator It) {
   const UpstreamAttempt Attempt = this->removeAttempt(It);
   this->closeConnection(Attempt);
--- a/Source/Gateway/UpstreamSender.h
+++ b/Source/Gateway/UpstreamSender.h
@@ -49,7 +49,11 @@
   std::size_t waitingCount(const common::ServiceName &Service) const override;
   void cancelAwait(forwarding::AttemptListener &Listener) override;
 
-  /// Closes the idle connections to searchers that are no longer published.
+  /// Takes back the attempts at searchers that are no longer listed whose
+  /// connection is still being set up, and notifies the listeners that await a
+  /// connection of a service without a listed searcher, which would not come.
+  void withdrawUnlisted();
+  /// Closes the idle connections to searchers that are no longer listed.
   void closeUnlisted();
   /// Closes all connections that no attempt uses.
   void closeIdle();
@@ -80,8 +84,7 @@
   /// Updates the record of the searcher with what it says of itself.
   void recordNotice(const UpstreamAttempt &Attempt,
                     const forwarding::SearcherNotice &Notice);
-  /// Ends an attempt whose searcher must get nothing any more, before it is
-  /// sent.
+  /// Ends an attempt whose searcher must get nothing now, before it is sent.
   void withdraw(AttemptMap::iterator It);
   void closeConnection(const UpstreamAttempt &Attempt);
   void onLingerEnd(forwarding::AttemptNumber Attempt);
--- a/Source/Node/MetricsSource.cpp
+++ b/Source/Node/MetricsSource.cpp
@@ -43,6 +43,9 @@
                ? 0
                : this->Registry.table()->version())
        << '\n'
+       << "# TYPE acaciacross_evacuated_domains gauge\n"
+       << "acaciacross_evacuated_domains "
+       << this->Registry.evacuatedDomains().size() << '\n'
        << "# TYPE acaciacross_fleet_vms gauge\n"
        << "acaciacross_fleet_vms " << this->Registry.fleet().VmCount << '\n'
        << "# TYPE acaciacross_fleet_placed_vms gauge\n"
--- a/Source/Node/NodeController.cpp
+++ b/Source/Node/NodeController.cpp
@@ -232,9 +232,9 @@
   if (this->Published.changes() == this->PublishedChanges)
     return;
   this->PublishedChanges = this->Published.changes();
-  this->Traffic.setPublished(this->Published.searchers(),
-                             this->Published.table(),
-                             this->Published.tableAcceptedAt());
+  this->Traffic.setPublished(
+      this->Published.searchers(), this->Published.evacuatedDomains(),
+      this->Published.table(), this->Published.tableAcceptedAt());
   const bool CanServe =
       this->Published.hasSnapshot() && this->Published.table() != nullptr;
   if (!CanServe || this->IsServing)
--- a/Source/Node/TrafficThread.cpp
+++ b/Source/Node/TrafficThread.cpp
@@ -55,15 +55,19 @@
 
 void TrafficThread::setPublished(
     std::vector<forwarding::SearcherEntry> Searchers,
+    std::set<std::string> EvacuatedDomains,
     std::shared_ptr<const forwarding::RoutingTable> Table,
     common::MonotonicTime TableAcceptedAt) {
   this->Loop.post([this, Searchers = std::move(Searchers),
+                   EvacuatedDomains = std::move(EvacuatedDomains),
                    Table = std::move(Table), TableAcceptedAt] {
+    this->Registry.setEvacuatedDomains(EvacuatedDomains);
     this->Registry.setSearchers(Searchers);
     if (Table != nullptr && Table != this->Registry.table()) {
       this->Handover.replace(this->Registry.table(), *Table, TableAcceptedAt);
       this->Registry.setTable(Table);
     }
+    this->Sender.withdrawUnlisted();
     this->Sender.closeUnlisted();
   });
 }
--- a/Source/Node/TrafficThread.h
+++ b/Source/Node/TrafficThread.h
@@ -25,6 +25,8 @@
 
 #include <atomic>
 #include <memory>
+#include <set>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -47,6 +49,7 @@
 
   // Thread-safe:
   void setPublished(std::vector<forwarding::SearcherEntry> Searchers,
+                    std::set<std::string> EvacuatedDomains,
                     std::shared_ptr<const forwarding::RoutingTable> Table,
                     common::MonotonicTime TableAcceptedAt);
   void setFleet(fleet::FleetView View);
--- a/Source/UnitTests/Discovery/FakeDecoder.h
+++ b/Source/UnitTests/Discovery/FakeDecoder.h
@@ -10,16 +10,21 @@
 
 namespace acaciacross::discovery {
 
-/// Decodes the values "searcher", "draining", "bad" and "version:N".
+/// Decodes the values "searcher", "draining", "bad" and "version:N", and the
+/// keys "evacuate/DOMAIN", of which the one without a domain is malformed.
 class FakeDecoder final : public ItemDecoder {
 public:
   bool isUsed(const std::string &Key) const override {
-    return !Key.starts_with("other/");
+    return !Key.starts_with("other/") && Key != "evacuate/";
   }
 
   PublishedItem decode(const StoreItem &Item) const override {
     PublishedItem Decoded;
-    if (Item.Value == "bad") {
+    if (Item.Key.starts_with("evacuate/")) {
+      Decoded.EvacuatedDomain = Item.Key.substr(9);
+      if (Decoded.EvacuatedDomain.empty())
+        Decoded.Problem = "no domain";
+    } else if (Item.Value == "bad") {
       Decoded.Problem = "bad";
     } else if (Item.Value.starts_with("version:")) {
       Decoded.Table = std::make_shared<const forwarding::RoutingTable>(
--- a/Source/UnitTests/platform/NodeTrafficFixture.h
+++ b/Source/UnitTests/platform/NodeTrafficFixture.h
@@ -15,6 +15,7 @@
 
 #include <chrono>
 #include <memory>
+#include <set>
 #include <string>
 #include <thread>
 #include <utility>
@@ -87,7 +88,7 @@
     forwarding::CallerLimits Limits;
     Limits.MaxHeadBytes = 2'000;
     Limits.MaxBodyBytes = 1'000;
-    this->Thread->setPublished(this->Searchers,
+    this->Thread->setPublished(this->Searchers, this->EvacuatedDomains,
                                std::make_shared<const forwarding::RoutingTable>(
                                    1, std::move(Routes),
                                    std::map<common::ServiceName, unsigned>(),
@@ -140,6 +141,7 @@
   node::NodeSettings Settings;
   std::vector<std::unique_ptr<Upstream>> Upstreams;
   std::vector<forwarding::SearcherEntry> Searchers;
+  std::set<std::string> EvacuatedDomains;
   /// Shards of a further route "/extra/".
   std::vector<common::ServiceName> ExtraShards;
   std::unique_ptr<node::TrafficThread> Thread;
--- a/Source/UnitTests/platform/SettingsDecoderTest.cpp
+++ b/Source/UnitTests/platform/SettingsDecoderTest.cpp
@@ -53,6 +53,21 @@
   EXPECT_EQ(Settings.StopLimit, std::chrono::milliseconds(6'000));
 }
 
+// All changes arrive in one stream, so the smallest of their bounds counts.
+TEST_F(SettingsDecoderTest, BoundOfEvacuationsLimitsTheDelayOfChanges) {
+  const auto DelayWith = [this](const std::string &Bounds) {
+    return SettingsDecoder::decode(replaceFirst(this->Text, "grace_s = 6",
+                                                "grace_s = 6\n" + Bounds),
+                                   9464)
+        .MaxChangeDelay;
+  };
+  EXPECT_EQ(DelayWith("config_apply_ms = 5000\ndrain_ms = 4000"),
+            std::chrono::milliseconds(4'000));
+  EXPECT_EQ(DelayWith("config_apply_ms = 5000\ndrain_ms = 4000\n"
+                      "evacuate_ms = 2500"),
+            std::chrono::milliseconds(2'500));
+}
+
 // The settings list seeds with a TCP port that this program does not open, so a
 // probe to that port would get no answer. All VMs share the peer port.
 TEST_F(SettingsDecoderTest, SeedsUseThePeerPort) {
--- a/Source/UnitTests/platform/StoreItemDecoderTest.cpp
+++ b/Source/UnitTests/platform/StoreItemDecoderTest.cpp
@@ -168,6 +168,30 @@
   }
 }
 
+// The operator may write any value.
+TEST_F(StoreItemDecoderTest, EvacuationKeyNamesAFailureDomain) {
+  for (const char *Value : {"{}", "", "[", R"({"zone":"z2"})"}) {
+    const auto Item = this->decode("op/evacuate/z-1", Value);
+    EXPECT_EQ(Item.EvacuatedDomain, "z-1") << Value;
+    EXPECT_EQ(Item.Problem, "") << Value;
+  }
+  EXPECT_TRUE(this->Decoder.isUsed("op/evacuate/z-1"));
+  EXPECT_EQ(this->decode("op/evacuated/z-1", "{}").EvacuatedDomain, "");
+}
+
+TEST_F(StoreItemDecoderTest, EvacuationKeyWithOddNameIsReported) {
+  for (const std::string &Name :
+       {std::string(), std::string("a b"), std::string("z\r\nX: 1"),
+        std::string("\xff\xfe"), std::string(189, 'z')}) {
+    const std::string Key = "op/evacuate/" + Name;
+    const auto Item = this->decode(Key, "{}");
+    EXPECT_EQ(Item.EvacuatedDomain, "") << Name;
+    EXPECT_NE(Item.Problem.find("allowed: 1 to 188"), std::string::npos)
+        << Item.Problem;
+    EXPECT_FALSE(this->Decoder.isUsed(Key)) << Name;
+  }
+}
+
 // The store also holds keys of other programs; they must not be reported.
 TEST_F(StoreItemDecoderTest, OtherKeysAreIgnored) {
   const auto Item = this->decode("other/key", "{");
