UnitTests: UpstreamSenderTest waits for the end of the attempt

Cause: the tests ran the event loop for 150 ms. On a busy machine the answer of the searcher came later; AttemptInAnotherDomainIsNotTakenBack failed once in a whole run of the unit tests (load average above 17).

Change: the loop runs until the listener is called, at most 5 s; only the tests that nothing more happens run for a fixed time. What they check is unchanged.

--- a/Source/UnitTests/Gateway/UpstreamSenderTest.cpp
+++ b/Source/UnitTests/Gateway/UpstreamSenderTest.cpp
@@ -46,9 +46,9 @@
                        this->Loop.now() + milliseconds(1'000), *this);
   }
 
-  /// Runs the loop until the attempt has ended and a little longer.
-  void run() {
-    this->Loop.schedule(this->Loop.now() + milliseconds(150),
+  /// Runs the loop until the listener is called, or until the time is over.
+  void run(milliseconds Limit) {
+    this->Loop.schedule(this->Loop.now() + Limit,
                         [this] { this->Loop.stop(); });
     this->Loop.run();
   }
@@ -56,12 +56,17 @@
   void onAttemptEnded(forwarding::AttemptNumber,
                       forwarding::AttemptResult Result) override {
     this->End = Result.End;
+    this->Loop.stop();
   }
 
   void onConnectionAvailable(const common::ServiceName &) override {
     ++this->NotifiedCount;
+    this->Loop.stop();
   }
 
+  static constexpr milliseconds LongEnough{5'000};
+  static constexpr milliseconds Moment{150};
+
   const common::ServiceName Service{"s"};
   common::SystemClock Time;
   net::EventLoop Loop{this->Time};
@@ -90,14 +95,14 @@
   this->Sender.withdrawUnlisted();
   EXPECT_EQ(this->End, forwarding::AttemptEnd::NotSent);
   EXPECT_EQ(this->Sender.connections(), 0U);
-  this->run();
+  this->run(Moment);
   EXPECT_TRUE(this->Searcher.requests().empty());
 }
 
 TEST_F(UpstreamSenderTest, RequestIsNotSentOnAConnectionThatIsSetUpTooLate) {
   this->start();
   this->Registry.setEvacuatedDomains({"z1"});
-  this->run();
+  this->run(LongEnough);
   EXPECT_EQ(this->End, forwarding::AttemptEnd::NotSent);
   EXPECT_TRUE(this->Searcher.requests().empty());
 }
@@ -106,7 +111,7 @@
   this->start();
   this->Registry.setEvacuatedDomains({"z2"});
   this->Sender.withdrawUnlisted();
-  this->run();
+  this->run(LongEnough);
   EXPECT_EQ(this->End, forwarding::AttemptEnd::Answered);
 }
 
@@ -116,7 +121,7 @@
   this->Sender.awaitConnection(this->Service, *this);
   this->Registry.setEvacuatedDomains({"z1"});
   this->Sender.withdrawUnlisted();
-  this->run();
+  this->run(LongEnough);
   EXPECT_EQ(this->NotifiedCount, 1);
 }
 
@@ -125,7 +130,7 @@
   this->Sender.awaitConnection(this->Service, *this);
   this->Registry.setEvacuatedDomains({"z2"});
   this->Sender.withdrawUnlisted();
-  this->run();
+  this->run(Moment);
   EXPECT_EQ(this->NotifiedCount, 0);
 }
 
