Forwarding, Routing, Node: requests of a route keep to its homes

The list was not decoded; any searcher of a service and any VM of the fleet was used for any route.

Change: RoutingTableDecoder reads allowed_regions; an odd list leaves its route out, a missing or empty one is no bound. The settings' zones make a RegionMap. ServiceRegistry::replicas(Service, Route) gives the searchers in the homes of the route, and is what selection, hedges, repeats, waiting, admission and forecast see; a failure domain without a known region is in no home. The lists are built for a set of homes when first asked for, and dropped when searchers or table change; a route without homes costs one comparison more than before. Address answers for a host whose routes have homes name VMs in the regions that all these routes allow or in the region of the caller (HomeRegionFilter), and none elsewhere; a VM without a table names none if its settings have several regions.

Ruled out: a filter in each of the six callers, which would have to agree; naming VMs elsewhere when none is left in the homes, because bodies would leave the regions that the operator allows.

--- a/Source/Forwarding/AvailabilityForecast.cpp
+++ b/Source/Forwarding/AvailabilityForecast.cpp
@@ -11,11 +11,12 @@
 using std::chrono::milliseconds;
 
 milliseconds untilServiceUsable(const ServiceRegistry &Registry,
+                                const Route &Target,
                                 const common::ServiceName &Service,
                                 common::MonotonicTime Now,
                                 milliseconds OtherDelay) {
   std::optional<milliseconds> Earliest;
-  for (const auto &Replica : Registry.replicas(Service)) {
+  for (const auto &Replica : Registry.replicas(Service, Target)) {
     if (!Replica->isListed())
       continue;
     if (Replica->isUsable(Now))
@@ -32,13 +33,14 @@
 } // namespace
 
 milliseconds AvailabilityForecast::untilUsable(
-    const ServiceRegistry &Registry,
+    const ServiceRegistry &Registry, const Route &Target,
     std::span<const common::ServiceName> Services, std::size_t MinServices,
     common::MonotonicTime Now, milliseconds OtherDelay) {
   std::vector<milliseconds> Waits;
   Waits.reserve(Services.size());
   for (const common::ServiceName &Service : Services)
-    Waits.push_back(untilServiceUsable(Registry, Service, Now, OtherDelay));
+    Waits.push_back(
+        untilServiceUsable(Registry, Target, Service, Now, OtherDelay));
   if (MinServices == 0 || MinServices > Waits.size())
     return OtherDelay;
   const auto Needed =
--- a/Source/Forwarding/AvailabilityForecast.h
+++ b/Source/Forwarding/AvailabilityForecast.h
@@ -16,10 +16,10 @@
 class AvailabilityForecast {
 public:
   /// Returns the time until MinServices of the services have a searcher that
-  /// may be asked. OtherDelay: the time for a service that no pause keeps from
-  /// being asked, but that is not usable for another reason.
+  /// may be asked for the route. OtherDelay: the time for a service that no
+  /// pause keeps from being asked, but that is not usable for another reason.
   static std::chrono::milliseconds
-  untilUsable(const ServiceRegistry &Registry,
+  untilUsable(const ServiceRegistry &Registry, const Route &Target,
               std::span<const common::ServiceName> Services,
               std::size_t MinServices, common::MonotonicTime Now,
               std::chrono::milliseconds OtherDelay);
--- a/Source/Forwarding/Execution.cpp
+++ b/Source/Forwarding/Execution.cpp
@@ -136,11 +136,12 @@
   std::vector<common::ServiceName> Services;
   for (const SubRequest &Sub : this->SubRequests)
     Services.push_back(Sub.service());
-  const auto &Gather = this->Request->Target->Gather;
+  const Route &Target = *this->Request->Target;
+  const std::size_t MinServices =
+      Target.Gather ? Target.Gather->minShards() : 1;
   return std::max(RetryDelay, AvailabilityForecast::untilUsable(
-                                  this->Dependencies.Services, Services,
-                                  Gather ? Gather->minShards() : 1, this->now(),
-                                  RetryDelay));
+                                  this->Dependencies.Services, Target, Services,
+                                  MinServices, this->now(), RetryDelay));
 }
 
 common::MonotonicTime Execution::endsAt() const {
--- a/Source/Forwarding/LoadAdmission.cpp
+++ b/Source/Forwarding/LoadAdmission.cpp
@@ -18,11 +18,11 @@
 /// connection yet, and in the queue of the least loaded searcher.
 std::chrono::duration<double, std::milli>
 expectedWait(const ServiceRegistry &Registry, const AttemptSender &Sender,
-             const common::ServiceName &Service, common::MonotonicTime Now,
-             const RouteLatency &Latency) {
+             const Route &Target, const common::ServiceName &Service,
+             common::MonotonicTime Now, const RouteLatency &Latency) {
   std::optional<double> Queue;
   std::size_t Usable = 0;
-  for (const auto &Replica : Registry.replicas(Service)) {
+  for (const auto &Replica : Registry.replicas(Service, Target)) {
     if (!Replica->isUsable(Now))
       continue;
     ++Usable;
@@ -53,7 +53,7 @@
   ExpectedTimes.reserve(Services.size());
   for (const common::ServiceName &Service : Services)
     ExpectedTimes.push_back(
-        expectedWait(Registry, this->Sender, Service, Now, Latency) +
+        expectedWait(Registry, this->Sender, Target, Service, Now, Latency) +
         Latency.Unloaded);
   // A query is answered once its minimum number of shards has answered.
   const std::size_t MinServices =
--- a/Source/Forwarding/ReachabilityAdmission.cpp
+++ b/Source/Forwarding/ReachabilityAdmission.cpp
@@ -12,11 +12,11 @@
 // unreachable searchers are tried again within one second.
 constexpr std::chrono::milliseconds RetryDelay{500};
 
-bool canServe(const ServiceRegistry &Registry,
+bool canServe(const ServiceRegistry &Registry, const Route &Target,
               const common::ServiceName &Service, common::MonotonicTime Now,
               common::MonotonicTime LatestStart) {
   return std::ranges::any_of(
-      Registry.replicas(Service), [&](const auto &Replica) {
+      Registry.replicas(Service, Target), [&](const auto &Replica) {
         return Replica->isListed() && Replica->isReachable(Now) &&
                Replica->pausedUntil() <= LatestStart;
       });
@@ -33,15 +33,16 @@
       Now, Request.latestStart(Registry.latency(*Request.Target).Typical));
   const auto UsableServices =
       std::ranges::count_if(Services, [&](const auto &Service) {
-        return canServe(Registry, Service, Now, LatestStart);
+        return canServe(Registry, *Request.Target, Service, Now, LatestStart);
       });
   const std::size_t MinServices =
       Request.Target->Gather ? Request.Target->Gather->minShards() : 1;
   if (static_cast<std::size_t>(UsableServices) >= MinServices)
     return std::nullopt;
   return Refusal{common::ResultCode::NoUsableReplica,
-                 AvailabilityForecast::untilUsable(
-                     Registry, Services, MinServices, Now, RetryDelay),
+                 AvailabilityForecast::untilUsable(Registry, *Request.Target,
+                                                   Services, MinServices, Now,
+                                                   RetryDelay),
                  {},
                  {}};
 }
--- a/Source/Forwarding/Route.h
+++ b/Source/Forwarding/Route.h
@@ -29,6 +29,8 @@
   /// Services that share the requests by weight; empty when Gather is set.
   std::vector<WeightedService> Services;
   std::optional<GatherSettings> Gather;
+  /// Regions whose searchers may get the requests; empty for all.
+  std::vector<std::string> AllowedRegions;
 };
 
 } // namespace acaciacross::forwarding
--- a/Source/Forwarding/RoutingTable.cpp
+++ b/Source/Forwarding/RoutingTable.cpp
@@ -6,6 +6,18 @@
 
 namespace acaciacross::forwarding {
 
+namespace {
+
+std::string lowerCase(std::string_view Text) {
+  std::string Result(Text);
+  std::ranges::transform(Result, Result.begin(), [](unsigned char Char) {
+    return static_cast<char>(std::tolower(Char));
+  });
+  return Result;
+}
+
+} // namespace
+
 RoutingTable::RoutingTable(
     std::uint64_t Version, std::vector<Route> Routes,
     std::map<common::ServiceName, unsigned> MaxConnections, CallerLimits Limits)
@@ -14,6 +26,8 @@
   for (std::size_t I = 0; I < this->Routes.size(); ++I)
     this->ByPrefix.emplace(keyOf(this->Routes[I].Host, this->Routes[I].Prefix),
                            I);
+  for (const Route &Target : this->Routes)
+    this->addHomes(Target);
 }
 
 std::uint64_t RoutingTable::version() const { return this->VersionNumber; }
@@ -36,6 +50,15 @@
   }
 }
 
+std::optional<std::vector<std::string>>
+RoutingTable::homesOf(std::string_view Host) const {
+  const auto Found =
+      this->HomesByHost.find(lowerCase(Host.substr(0, Host.find(':'))));
+  if (Found == this->HomesByHost.end())
+    return std::nullopt;
+  return Found->second;
+}
+
 const unsigned *
 RoutingTable::maxConnections(const common::ServiceName &Service) const {
   const auto Found = this->MaxConnections.find(Service);
@@ -46,12 +69,23 @@
 
 const std::vector<Route> &RoutingTable::routes() const { return this->Routes; }
 
+// A caller chooses its VM by the host, before it is known which of the routes
+// its requests take.
+void RoutingTable::addHomes(const Route &Target) {
+  if (Target.AllowedRegions.empty())
+    return;
+  const auto [Homes, IsFirst] = this->HomesByHost.try_emplace(
+      lowerCase(Target.Host), Target.AllowedRegions);
+  if (IsFirst)
+    return;
+  std::erase_if(Homes->second, [&Target](const std::string &Region) {
+    return std::ranges::count(Target.AllowedRegions, Region) == 0;
+  });
+}
+
 std::string RoutingTable::keyOf(std::string_view Host,
                                 std::string_view Prefix) {
-  std::string Key(Host);
-  std::ranges::transform(Key, Key.begin(), [](unsigned char Char) {
-    return static_cast<char>(std::tolower(Char));
-  });
+  std::string Key = lowerCase(Host);
   Key.append(" ").append(Prefix);
   return Key;
 }
--- a/Source/Forwarding/RoutingTable.h
+++ b/Source/Forwarding/RoutingTable.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -27,12 +28,17 @@
   /// Returns the route of the host with the longest matching path prefix; null
   /// when there is none. Host may include a port, Target a query string.
   const Route *match(std::string_view Host, std::string_view Target) const;
+  /// Regions that all routes of the host with homes allow; empty optional when
+  /// no route of the host has homes. Host may include a port.
+  std::optional<std::vector<std::string>> homesOf(std::string_view Host) const;
   /// Null for a service that no route uses.
   const unsigned *maxConnections(const common::ServiceName &Service) const;
   const CallerLimits &limits() const;
   const std::vector<Route> &routes() const;
 
 private:
+  /// Narrows the homes of the route's host to those of the route.
+  void addHomes(const Route &Target);
   static std::string keyOf(std::string_view Host, std::string_view Prefix);
 
   std::uint64_t VersionNumber;
@@ -40,6 +46,8 @@
   std::map<common::ServiceName, unsigned> MaxConnections;
   CallerLimits Limits;
   std::unordered_map<std::string, std::size_t> ByPrefix;
+  /// By host name in lower case.
+  std::unordered_map<std::string, std::vector<std::string>> HomesByHost;
 };
 
 } // namespace acaciacross::forwarding
--- a/Source/Forwarding/ServiceRegistry.cpp
+++ b/Source/Forwarding/ServiceRegistry.cpp
@@ -1,11 +1,14 @@
 #include "Forwarding/ServiceRegistry.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace acaciacross::forwarding {
 
-ServiceRegistry::ServiceRegistry(RetryBudgetSettings BudgetSettings)
-    : BudgetSettings(BudgetSettings) {}
+ServiceRegistry::ServiceRegistry(RetryBudgetSettings BudgetSettings,
+                                 common::RegionMap Regions)
+    : BudgetSettings(BudgetSettings), Regions(std::move(Regions)) {}
 
 void ServiceRegistry::setEvacuatedDomains(std::set<std::string> Domains) {
   this->EvacuatedDomains = std::move(Domains);
@@ -17,6 +20,7 @@
 void ServiceRegistry::setSearchers(const std::vector<SearcherEntry> &Entries) {
   std::map<common::SearcherId, std::shared_ptr<ReplicaRecord>> Listed;
   this->ByService.clear();
+  this->ByHomes.clear();
   for (const SearcherEntry &Entry : Entries) {
     const auto Known = this->Searchers.find(Entry.Id);
     std::shared_ptr<ReplicaRecord> Record;
@@ -42,6 +46,7 @@
 
 void ServiceRegistry::setTable(std::shared_ptr<const RoutingTable> NewTable) {
   this->Table = std::move(NewTable);
+  this->ByHomes.clear();
   std::set<std::string> Names;
   for (const Route &Target : this->Table->routes())
     Names.insert(Target.Name);
@@ -86,6 +91,24 @@
   return Found->second;
 }
 
+std::span<const std::shared_ptr<ReplicaRecord>>
+ServiceRegistry::replicas(const common::ServiceName &Service,
+                          const Route &Target) const {
+  const std::span<const std::shared_ptr<ReplicaRecord>> All =
+      this->replicas(Service);
+  if (Target.AllowedRegions.empty())
+    return All;
+  const auto [Known, IsNew] =
+      this->ByHomes[Target.AllowedRegions].try_emplace(Service);
+  if (IsNew)
+    std::ranges::copy_if(
+        All, std::back_inserter(Known->second), [&](const auto &Replica) {
+          return this->Regions.isIn(Replica->entry().FailureDomain,
+                                    Target.AllowedRegions);
+        });
+  return Known->second;
+}
+
 // A budget is kept after its service leaves the table, because extra arrivals
 // count against the bound for a whole window after the last request.
 RetryBudget &ServiceRegistry::budget(const common::ServiceName &Service) {
--- a/Source/Forwarding/ServiceRegistry.h
+++ b/Source/Forwarding/ServiceRegistry.h
@@ -2,6 +2,7 @@
 #define ACACIACROSS_FORWARDING_SERVICEREGISTRY_H
 
 #include "Common/Identifiers.h"
+#include "Common/RegionMap.h"
 #include "Forwarding/FleetShare.h"
 #include "Forwarding/ReplicaRecord.h"
 #include "Forwarding/RetryBudget.h"
@@ -27,7 +28,9 @@
 /// and budgets persist across changes of the routing table.
 class ServiceRegistry {
 public:
-  explicit ServiceRegistry(RetryBudgetSettings BudgetSettings);
+  /// Regions: where the homes of a route find the failure domains.
+  explicit ServiceRegistry(RetryBudgetSettings BudgetSettings,
+                           common::RegionMap Regions = {});
 
   /// Replaces the set of failure domains whose searchers must get nothing, both
   /// for the searchers that are published and for those that will be.
@@ -45,8 +48,14 @@
                     common::MonotonicTime Now);
 
   const std::shared_ptr<const RoutingTable> &table() const;
+  /// All published replicas of the service.
   std::span<const std::shared_ptr<ReplicaRecord>>
   replicas(const common::ServiceName &Service) const;
+  /// The published replicas of the service that requests of the route may be
+  /// sent to: those in its homes. Valid until the searchers or the table are
+  /// replaced.
+  std::span<const std::shared_ptr<ReplicaRecord>>
+  replicas(const common::ServiceName &Service, const Route &Target) const;
   RetryBudget &budget(const common::ServiceName &Service);
   std::shared_ptr<RouteStatistics> statistics(const std::string &RouteName);
   RouteLatency latency(const Route &Target) const;
@@ -57,15 +66,21 @@
   allSearchers() const;
 
 private:
+  using ReplicasByService =
+      std::unordered_map<common::ServiceName,
+                         std::vector<std::shared_ptr<ReplicaRecord>>>;
+
   RetryBudgetSettings BudgetSettings;
+  common::RegionMap Regions;
   FleetShare Fleet;
   std::shared_ptr<const RoutingTable> Table;
   SearcherNotices Notices;
   std::set<std::string> EvacuatedDomains;
   std::map<common::SearcherId, std::shared_ptr<ReplicaRecord>> Searchers;
-  std::unordered_map<common::ServiceName,
-                     std::vector<std::shared_ptr<ReplicaRecord>>>
-      ByService;
+  ReplicasByService ByService;
+  /// The replicas in sets of homes, as far as they have been asked for since
+  /// the searchers or the table were replaced.
+  mutable std::map<std::vector<std::string>, ReplicasByService> ByHomes;
   std::unordered_map<common::ServiceName, RetryBudget> Budgets;
   std::unordered_map<std::string, std::shared_ptr<RouteStatistics>> Statistics;
   std::unordered_map<std::string, WeightedRoundRobin> ServiceRotations;
--- a/Source/Forwarding/SubRequest.cpp
+++ b/Source/Forwarding/SubRequest.cpp
@@ -171,11 +171,16 @@
                   this->Dependencies.Hedges.delay(Target, *this->Statistics));
 }
 
+std::span<const std::shared_ptr<ReplicaRecord>> SubRequest::replicas() const {
+  return this->Dependencies.Services.replicas(this->Service,
+                                              *this->Request->Target);
+}
+
 std::shared_ptr<ReplicaRecord> SubRequest::chooseReplica() const {
   const Route &Target = *this->Request->Target;
   return this->Dependencies.Selector.choose(
-      this->Dependencies.Services.replicas(this->Service), this->Tried,
-      this->Dependencies.Sender, this->Dependencies.Time.monotonicNow(),
+      this->replicas(), this->Tried, this->Dependencies.Sender,
+      this->Dependencies.Time.monotonicNow(),
       this->Statistics->typical(Target.LatencyTarget));
 }
 
@@ -183,13 +188,10 @@
   const common::MonotonicTime Now = this->Dependencies.Time.monotonicNow();
   const auto Typical =
       this->Statistics->typical(this->Request->Target->LatencyTarget);
-  return std::ranges::any_of(
-      this->Dependencies.Services.replicas(this->Service),
-      [&](const auto &Replica) {
-        return Replica->isUsable(Now) &&
-               !Replica->isUnresponsive(Now, Typical) &&
-               !this->wasTried(*Replica);
-      });
+  return std::ranges::any_of(this->replicas(), [&](const auto &Replica) {
+    return Replica->isUsable(Now) && !Replica->isUnresponsive(Now, Typical) &&
+           !this->wasTried(*Replica);
+  });
 }
 
 std::optional<common::MonotonicTime> SubRequest::nextPauseEnd() const {
@@ -197,8 +199,7 @@
   const common::MonotonicTime LatestStart = this->Request->latestStart(
       this->Statistics->typical(this->Request->Target->LatencyTarget));
   std::optional<common::MonotonicTime> Earliest;
-  for (const auto &Replica :
-       this->Dependencies.Services.replicas(this->Service)) {
+  for (const auto &Replica : this->replicas()) {
     const common::MonotonicTime End = Replica->pausedUntil();
     if (!Replica->isListed() || !Replica->isPaused(Now) || End > LatestStart ||
         this->wasTried(*Replica))
--- a/Source/Forwarding/SubRequest.h
+++ b/Source/Forwarding/SubRequest.h
@@ -7,6 +7,7 @@
 
 #include <memory>
 #include <optional>
+#include <span>
 #include <vector>
 
 namespace acaciacross::forwarding {
@@ -52,6 +53,8 @@
   /// Starts the next attempt if the limits allow it. Otherwise waits for a
   /// connection or becomes exhausted.
   void sendNext();
+  /// The searchers that the request may be sent to.
+  std::span<const std::shared_ptr<ReplicaRecord>> replicas() const;
   std::shared_ptr<ReplicaRecord> chooseReplica() const;
   void startHedge(common::MonotonicTime Now);
   /// End of the first pause after which an attempt can still be answered within
--- a/Source/Node/NodeSettings.h
+++ b/Source/Node/NodeSettings.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,8 @@
 struct NodeSettings {
   common::VmId Vm;
   std::string FailureDomain;
+  /// The region of each failure domain; empty when the settings do not say.
+  std::map<std::string, std::string> RegionByDomain;
   /// CPU capacity of this VM, in thousandths of a core; 0 when unknown.
   unsigned CapacityMilliCores = 0;
   /// Address for connections of callers, also as published to them.
--- a/Source/Node/NodeStatus.h
+++ b/Source/Node/NodeStatus.h
@@ -2,8 +2,9 @@
 #define ACACIACROSS_NODE_NODESTATUS_H
 
 #include "Routing/AddressCandidate.h"
+#include "Routing/AddressQuery.h"
 
-#include <string>
+#include <cstddef>
 #include <vector>
 
 namespace acaciacross::node {
@@ -17,10 +18,10 @@
   /// Whether this VM accepts requests of callers.
   virtual bool isReady() const = 0;
   /// Returns at most MaxCount entry VMs that a caller may connect to; empty
-  /// while the fleet is unknown. CallerDomain: the failure domain of the
-  /// caller; empty when unknown.
+  /// while the fleet is unknown, or while it is unknown where the routes of the
+  /// host have their homes.
   virtual std::vector<routing::AddressCandidate>
-  addresses(std::size_t MaxCount, const std::string &CallerDomain) = 0;
+  addresses(std::size_t MaxCount, const routing::AddressQuery &Query) = 0;
 };
 
 } // namespace acaciacross::node
--- a/Source/Node/TrafficThread.cpp
+++ b/Source/Node/TrafficThread.cpp
@@ -1,5 +1,9 @@
 #include "Node/TrafficThread.h"
 
+#include <algorithm>
+#include <iterator>
+#include <optional>
+#include <ranges>
 #include <utility>
 
 namespace acaciacross::node {
@@ -16,9 +20,9 @@
                              const NodeEncodings &Encodings,
                              const common::Clock &TimeSource,
                              logging::EventLog &Log)
-    : Time(TimeSource), Loop(TimeSource), Handover(this->Loop, Log),
-      Random(common::SeededRandom::fromSystem()),
-      Registry(Settings.RetryBudget),
+    : Time(TimeSource), Regions(Settings.RegionByDomain), Loop(TimeSource),
+      Handover(this->Loop, Log), Random(common::SeededRandom::fromSystem()),
+      Registry(Settings.RetryBudget, this->Regions),
       Sender(this->Loop, this->Registry, Encodings.searchers(), Log,
              {Settings.FailureDomain,
               Settings.MemoryBytes / ResponseMemoryDivisor}),
@@ -38,7 +42,7 @@
       DirectoryListener(this->Loop, Settings.DirectoryAddress,
                         this->DirectoryPages),
       MetricsListener(this->Loop, Settings.MetricsAddress, this->MetricsPages),
-      VmSelector(this->Random) {}
+      VmSelector(this->Random), HomeRegions(this->Regions) {}
 
 TrafficThread::~TrafficThread() { this->stop(); }
 
@@ -138,12 +142,27 @@
 // addresses that they have until they receive new ones.
 std::vector<routing::AddressCandidate>
 TrafficThread::addresses(std::size_t MaxCount,
-                         const std::string &CallerDomain) {
-  if (!this->Registry.fleet().isKnown())
+                         const routing::AddressQuery &Query) {
+  const std::shared_ptr<const forwarding::RoutingTable> &Table =
+      this->Registry.table();
+  const bool AreHomesUnknown =
+      Table == nullptr && this->Regions.hasSeveralRegions();
+  if (!this->Registry.fleet().isKnown() || AreHomesUnknown)
     return {};
-  return this->VmSelector.select(this->Fleet.EntryVms, this->isReady(),
+  const auto Homes =
+      Table == nullptr ? std::nullopt : Table->homesOf(Query.Host);
+  const auto IsAllowed = [&](const routing::AddressCandidate &Vm) {
+    return !Homes || this->HomeRegions.allows(Vm, *Homes, Query);
+  };
+  std::vector<routing::AddressCandidate> Vms;
+  Vms.reserve(this->Fleet.EntryVms.size());
+  std::ranges::copy_if(this->Fleet.EntryVms | std::views::drop(1),
+                       std::back_inserter(Vms), IsAllowed);
+  const routing::AddressCandidate &ThisVm = this->Fleet.EntryVms.front();
+  Vms.insert(Vms.begin(), ThisVm);
+  return this->VmSelector.select(Vms, this->isReady() && IsAllowed(ThisVm),
                                  this->Time.monotonicNow(), MaxCount,
-                                 CallerDomain);
+                                 Query.FailureDomain);
 }
 
 } // namespace acaciacross::node
--- a/Source/Node/TrafficThread.h
+++ b/Source/Node/TrafficThread.h
@@ -2,6 +2,7 @@
 #define ACACIACROSS_NODE_TRAFFICTHREAD_H
 
 #include "Common/Clock.h"
+#include "Common/RegionMap.h"
 #include "Common/SeededRandom.h"
 #include "Fleet/FleetView.h"
 #include "Forwarding/AdmissionChain.h"
@@ -22,6 +23,7 @@
 #include "Node/NodeSettings.h"
 #include "Node/TableHandover.h"
 #include "Routing/EntryVmSelector.h"
+#include "Routing/HomeRegionFilter.h"
 
 #include <atomic>
 #include <memory>
@@ -68,13 +70,14 @@
 private:
   bool isReady() const override;
   std::vector<routing::AddressCandidate>
-  addresses(std::size_t MaxCount, const std::string &CallerDomain) override;
+  addresses(std::size_t MaxCount, const routing::AddressQuery &Query) override;
   /// Sets HasFinishedCallers once the last connection is closed.
   void awaitCallers();
   /// Updates the service registry with this VM's share of the fleet.
   void updateFleetShare();
 
   const common::Clock &Time;
+  common::RegionMap Regions;
   net::EventLoop Loop;
   TableHandover Handover;
   common::SeededRandom Random;
@@ -100,6 +103,7 @@
   gateway::Listener DirectoryListener;
   gateway::Listener MetricsListener;
   routing::EntryVmSelector VmSelector;
+  routing::HomeRegionFilter HomeRegions;
   fleet::FleetView Fleet;
   bool Stopping = false;
   std::atomic<bool> HasFinishedCallers = false;
--- a/Source/UnitTests/Forwarding/RoutingTableTest.cpp
+++ b/Source/UnitTests/Forwarding/RoutingTableTest.cpp
@@ -35,6 +35,21 @@
   EXPECT_EQ(this->matchedName("b.example", "/x/y/z"), "all");
 }
 
+TEST_F(RoutingTableTest, HomesOfAHostAreThoseThatAllItsRoutesAllow) {
+  using Homes = std::vector<std::string>;
+  Route First = route("one", "A.example", "/x/");
+  First.AllowedRegions = {"r1", "r2"};
+  Route Second = route("two", "a.example", "/y/");
+  Second.AllowedRegions = {"r2", "r3"};
+  const RoutingTable WithHomes(8,
+                               {First, route("free", "a.example", "/z/"),
+                                Second, route("all", "b.example", "/")},
+                               {}, CallerLimits());
+  EXPECT_EQ(WithHomes.homesOf("a.EXAMPLE:80"), Homes{"r2"});
+  EXPECT_EQ(WithHomes.homesOf("b.example"), std::nullopt);
+  EXPECT_EQ(WithHomes.homesOf("c.example"), std::nullopt);
+}
+
 TEST_F(RoutingTableTest, UnknownHostOrPathHasNoRoute) {
   EXPECT_EQ(this->matchedName("c.example", "/x/"), "");
   EXPECT_EQ(this->matchedName("a.example", "/x"), "");
--- a/Source/UnitTests/platform/NodeTrafficFixture.h
+++ b/Source/UnitTests/platform/NodeTrafficFixture.h
@@ -59,7 +59,7 @@
   /// "/safe/" (repeatable) to service "p", and "/all/" over the shards "s0" and
   /// "s1". Waits until the traffic thread uses them.
   void publishConfiguration() {
-    const auto MakeRoute = [](const std::string &Prefix) {
+    const auto MakeRoute = [this](const std::string &Prefix) {
       forwarding::Route Route;
       Route.Name = Prefix;
       Route.Host = "h";
@@ -68,6 +68,7 @@
       Route.LatencyTarget = std::chrono::milliseconds(400);
       Route.MaxAttempts = 2;
       Route.Services = {{common::ServiceName("p"), 1.0}};
+      Route.AllowedRegions = this->AllowedRegions;
       return Route;
     };
     forwarding::Route RepeatableRoute = MakeRoute("/safe/");
@@ -142,6 +143,8 @@
   std::vector<std::unique_ptr<Upstream>> Upstreams;
   std::vector<forwarding::SearcherEntry> Searchers;
   std::set<std::string> EvacuatedDomains;
+  /// Homes of all routes.
+  std::vector<std::string> AllowedRegions;
   /// Shards of a further route "/extra/".
   std::vector<common::ServiceName> ExtraShards;
   std::unique_ptr<node::TrafficThread> Thread;
--- a/Source/UnitTests/platform/SettingsDecoderTest.cpp
+++ b/Source/UnitTests/platform/SettingsDecoderTest.cpp
@@ -53,6 +53,20 @@
   EXPECT_EQ(Settings.StopLimit, std::chrono::milliseconds(6'000));
 }
 
+TEST_F(SettingsDecoderTest, ZonesNameTheirRegions) {
+  EXPECT_TRUE(SettingsDecoder::decode(this->Text, 9464).RegionByDomain.empty());
+  const std::map<std::string, std::string> Expected{{"z1", "r1"},
+                                                    {"z-2", "r2"}};
+  EXPECT_EQ(SettingsDecoder::decode(
+                this->Text + "[zones]\nz1 = \"r1\"\nz-2 = \"r2\"\n", 9464)
+                .RegionByDomain,
+            Expected);
+  EXPECT_NE(errorOf(this->Text + "[zones]\nz1 = 7\n").find("zones.z1"),
+            std::string::npos);
+  EXPECT_NE(errorOf("zones = 1\n" + this->Text).find("zones"),
+            std::string::npos);
+}
+
 // All changes arrive in one stream, so the smallest of their bounds counts.
 TEST_F(SettingsDecoderTest, BoundOfEvacuationsLimitsTheDelayOfChanges) {
   const auto DelayWith = [this](const std::string &Bounds) {
--- a/Source/UnitTests/platform/StoreItemDecoderTest.cpp
+++ b/Source/UnitTests/platform/StoreItemDecoderTest.cpp
@@ -152,6 +152,39 @@
   }
 }
 
+TEST_F(StoreItemDecoderTest, RouteCarriesItsHomes) {
+  const auto Table =
+      this->decode(
+              "op/config",
+              replaceFirst(this->Routes, "\"priority\":1",
+                           R"("priority":1,"allowed_regions":["r1","r2"])"))
+          .Table;
+  ASSERT_NE(Table, nullptr);
+  const std::vector<std::string> Homes{"r1", "r2"};
+  EXPECT_EQ(Table->match("h", "/q/1")->AllowedRegions, Homes);
+  EXPECT_TRUE(Table->match("h", "/p/1")->AllowedRegions.empty());
+  EXPECT_EQ(Table->homesOf("h"), Homes);
+}
+
+// A guess at what the list means could send requests where they must not go.
+TEST_F(StoreItemDecoderTest, RouteWithOddHomesIsLeftOut) {
+  for (const std::string &Homes :
+       {std::string("\"r1\""), std::string("7"), std::string("{}"),
+        std::string("[7]"), std::string("[\"\"]"), std::string("[\"a b\"]"),
+        std::string("[\"r1\",null]"), std::string("[[\"r1\"]]"),
+        "[\"" + std::string(201, 'r') + "\"]"}) {
+    const auto Item = this->decode(
+        "op/config",
+        replaceFirst(this->Routes, "\"priority\":1",
+                     "\"priority\":1,\"allowed_regions\":" + Homes));
+    ASSERT_NE(Item.Table, nullptr) << Homes;
+    EXPECT_EQ(Item.Table->match("h", "/q/1"), nullptr) << Homes;
+    EXPECT_NE(Item.Table->match("h", "/p/1"), nullptr) << Homes;
+    ASSERT_EQ(Item.LeftOut.size(), 1U) << Homes;
+    EXPECT_NE(Item.LeftOut.front().find("allowed_regions"), std::string::npos);
+  }
+}
+
 // The version before stays in effect.
 TEST_F(StoreItemDecoderTest, RoutingTableThatIsInvalidAsAWholeIsReported) {
   for (const auto &[From, To] :
