--- a/Source/UnitTests/platform/StoreItemDecoderTest.cpp
+++ b/Source/UnitTests/platform/StoreItemDecoderTest.cpp
@@ -37,7 +37,9 @@
 };
 
 TEST_F(StoreItemDecoderTest, EntryOfSearcherIsDecoded) {
-  const auto Item = this->decode("servers/i-1", this->Entry).Searcher;
+  const auto Decoded = this->decode("servers/i-1", this->Entry);
+  EXPECT_EQ(Decoded.Sequence, 4);
+  const auto Item = Decoded.Searcher;
   ASSERT_TRUE(Item);
   EXPECT_EQ(Item->Id.Value, "i-1");
   EXPECT_EQ(Item->Service.Value, "s");
