--- a/Source/Discovery/PublishedItem.h
+++ b/Source/Discovery/PublishedItem.h
@@ -4,6 +4,7 @@
 #include "Forwarding/RoutingTable.h"
 #include "Forwarding/SearcherEntry.h"
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -15,6 +16,8 @@
 /// VM does not use.
 struct PublishedItem {
   std::optional<forwarding::SearcherEntry> Searcher;
+  /// The number of the entry among those of one start of the searcher.
+  std::int64_t Sequence = 0;
   std::shared_ptr<const forwarding::RoutingTable> Table;
   /// The failure domain whose searchers must get nothing while the key exists;
   /// empty for other keys. The key says everything; its value is not used.
--- a/Source/UnitTests/Discovery/EvacuationTest.cpp
+++ b/Source/UnitTests/Discovery/EvacuationTest.cpp
@@ -111,19 +111,32 @@
   EXPECT_EQ(this->State.evacuatedDomains(), Domains{});
 }
 
+// A copy of the store from before the operator's request lacks its key, which
+// is written again within the time after an outage.
+TEST_F(EvacuationTest, EvacuationThatANewEraLacksHoldsUntilItIsWrittenAgain) {
+  this->State.onSnapshot({{"evacuate/z1", "{}", 8}, {"evacuate/z2", "{}", 9}},
+                         10);
+  this->State.onSnapshot({}, {1, 5});
+  this->passTime(milliseconds(2'100));
+  EXPECT_EQ(this->State.evacuatedDomains(), (Domains{"z1", "z2"}));
+  this->State.onChanges({{{"evacuate/z1", "{}", {1, 6}}, false}}, {1, 6});
+  this->passTime(milliseconds(200));
+  EXPECT_EQ(this->State.evacuatedDomains(), Domains{"z1"});
+}
+
 // Peers take an empty value for a removal.
 TEST_F(EvacuationTest, PeersLearnOfAnEvacuationWithAnyValueAndOfItsEnd) {
   PublishedState Peer{this->Decoder, this->Time, this->Log};
   Peer.onSnapshot({}, 0);
   this->State.onSnapshot({}, 0);
   this->evacuate("z1", "");
-  const PublishedChanges Told = this->State.changesSince(Peer.revision());
+  const PublishedChanges Told = this->State.changesSince(Peer.position());
   ASSERT_EQ(Told.Changes.size(), 1U);
   EXPECT_FALSE(Told.Changes.front().Item.Value.empty());
   Peer.apply(Told);
   EXPECT_EQ(Peer.evacuatedDomains(), Domains{"z1"});
   this->takeBack("z1");
-  Peer.apply(this->State.changesSince(Peer.revision()));
+  Peer.apply(this->State.changesSince(Peer.position()));
   EXPECT_EQ(Peer.evacuatedDomains(), Domains{});
 }
 
--- a/Source/UnitTests/Discovery/FakeDecoder.h
+++ b/Source/UnitTests/Discovery/FakeDecoder.h
@@ -10,8 +10,9 @@
 
 namespace acaciacross::discovery {
 
-/// Decodes the values "searcher", "draining", "bad" and "version:N", and the
-/// keys "evacuate/DOMAIN", of which the one without a domain is malformed.
+/// Decodes the values "searcher", "draining", "bad" and "version:N", of which
+/// the first two may be followed by ":START:SEQUENCE", and the keys
+/// "evacuate/DOMAIN", of which the one without a domain is malformed.
 class FakeDecoder final : public ItemDecoder {
 public:
   bool isUsed(const std::string &Key) const override {
@@ -34,7 +35,13 @@
     } else {
       forwarding::SearcherEntry Entry;
       Entry.Id = common::SearcherId(Item.Key);
-      Entry.IsDraining = Item.Value == "draining";
+      Entry.IsDraining = Item.Value.starts_with("draining");
+      const std::size_t Start = Item.Value.find(':');
+      if (Start != std::string::npos) {
+        Entry.StartedUnixMs = std::stol(Item.Value.substr(Start + 1));
+        Decoded.Sequence =
+            std::stol(Item.Value.substr(Item.Value.rfind(':') + 1));
+      }
       Decoded.Searcher = Entry;
     }
     return Decoded;
