Forwarding: bound on the requests that all VMs send to a cold searcher

A cold searcher only counted as slower, so that a zone that returned got the requests of all VMs at once. Each VM now has a whole number of requests per second for each cold searcher, from rendezvous hashing over the placed VMs; half of the bound is a margin for views that differ. Services without cold_per_s are used as before.

--- a/Source/Common/LogEvent.cpp
+++ b/Source/Common/LogEvent.cpp
@@ -50,6 +50,8 @@
     LogEvent::SearcherPaused,
     LogEvent::ResponseHeaderInvalid,
     LogEvent::ResponseBuffersFull,
+    LogEvent::SearcherCold,
+    LogEvent::SearcherWarm,
     LogEvent::RequestRefused,
     LogEvent::RequestFailed,
     LogEvent::ReplyDiscarded,
@@ -151,6 +153,10 @@
     return "ResponseHeaderInvalid";
   case LogEvent::ResponseBuffersFull:
     return "ResponseBuffersFull";
+  case LogEvent::SearcherCold:
+    return "SearcherCold";
+  case LogEvent::SearcherWarm:
+    return "SearcherWarm";
   case LogEvent::RequestRefused:
     return "RequestRefused";
   case LogEvent::RequestFailed:
--- a/Source/Common/LogEvent.h
+++ b/Source/Common/LogEvent.h
@@ -57,6 +57,8 @@
   SearcherPaused = 410,
   ResponseHeaderInvalid = 411,
   ResponseBuffersFull = 412,
+  SearcherCold = 416,
+  SearcherWarm = 417,
 
   RequestRefused = 500,
   RequestFailed = 501,
--- a/Source/Forwarding/AvailabilityForecast.cpp
+++ b/Source/Forwarding/AvailabilityForecast.cpp
@@ -20,10 +20,11 @@
       continue;
     if (Replica->isUsable(Now))
       return milliseconds(0);
+    const common::MonotonicTime AllowedAt = std::max(
+        Replica->pausedUntil(), Replica->coldStart().nextAllowedAt(Now));
     const milliseconds Wait =
-        Replica->isPaused(Now)
-            ? std::chrono::ceil<milliseconds>(Replica->pausedUntil() - Now)
-            : OtherDelay;
+        AllowedAt > Now ? std::chrono::ceil<milliseconds>(AllowedAt - Now)
+                        : OtherDelay;
     Earliest = std::min(Earliest.value_or(Wait), Wait);
   }
   return Earliest.value_or(OtherDelay);
--- a/Source/Forwarding/AvailabilityForecast.h
+++ b/Source/Forwarding/AvailabilityForecast.h
@@ -12,12 +12,13 @@
 namespace acaciacross::forwarding {
 
 /// Tells when a refused caller may come back, from the pauses that the
-/// searchers of its services have asked for.
+/// searchers of its services have asked for and the allowances of cold ones.
 class AvailabilityForecast {
 public:
   /// Returns the time until MinServices of the services have a searcher that
-  /// may be asked. OtherDelay: the time for a service that no pause keeps from
-  /// being asked, but that is not usable for another reason.
+  /// may be asked. OtherDelay: the time for a service that neither a pause nor
+  /// an allowance keeps from being asked, but that is not usable for another
+  /// reason.
   static std::chrono::milliseconds
   untilUsable(const ServiceRegistry &Registry,
               std::span<const common::ServiceName> Services,
--- a/Source/Forwarding/LeastDelaySelector.cpp
+++ b/Source/Forwarding/LeastDelaySelector.cpp
@@ -14,6 +14,13 @@
 // chosen for a clear gain only.
 constexpr double OtherDomainFactor = 2.0;
 
+void countWithheld(std::span<const std::shared_ptr<ReplicaRecord>> Replicas,
+                   common::MonotonicTime Now) {
+  for (const std::shared_ptr<ReplicaRecord> &Replica : Replicas)
+    if (Replica->coldStart().isUsedUp(Now))
+      Replica->coldStart().onWithheld();
+}
+
 } // namespace
 
 LeastDelaySelector::LeastDelaySelector(common::RandomSource &Random,
@@ -25,6 +32,7 @@
     std::span<const ReplicaRecord *const> Tried, const AttemptSender &Sender,
     common::MonotonicTime Now, std::chrono::nanoseconds Typical) {
   std::shared_ptr<ReplicaRecord> Best;
+  bool IsBestCold = false;
   double BestDelay = 0.0;
   for (const std::shared_ptr<ReplicaRecord> &Replica : Replicas) {
     if (!Replica->isUsable(Now) || Replica->isUnresponsive(Now, Typical) ||
@@ -36,11 +44,16 @@
         (1.0 + RandomSpread * this->Random.unitInterval());
     if (Replica->entry().FailureDomain != this->OwnDomain)
       Delay *= OtherDomainFactor;
-    if (Best != nullptr && Delay >= BestDelay)
+    const bool IsCold = Replica->coldStart().isCold(Now);
+    const bool IsSameKind = IsCold == IsBestCold;
+    if (Best != nullptr && (IsSameKind ? Delay >= BestDelay : IsCold))
       continue;
     Best = Replica;
+    IsBestCold = IsCold;
     BestDelay = Delay;
   }
+  if (Best == nullptr)
+    countWithheld(Replicas, Now);
   return Best;
 }
 
--- a/Source/Forwarding/LeastDelaySelector.h
+++ b/Source/Forwarding/LeastDelaySelector.h
@@ -10,7 +10,8 @@
 
 /// Selects the searcher with the shortest expected delay, and of similar ones
 /// the one in the failure domain of this VM. Paused, slow, cold and failing
-/// searchers get less work after a few attempts.
+/// searchers get less work after a few attempts. A cold searcher that states
+/// what it tolerates is selected only if no warm one can be.
 class LeastDelaySelector final : public ReplicaSelector {
 public:
   /// OwnDomain: the failure domain of this VM.
--- a/Source/Forwarding/ReachabilityAdmission.cpp
+++ b/Source/Forwarding/ReachabilityAdmission.cpp
@@ -18,10 +18,20 @@
   return std::ranges::any_of(
       Registry.replicas(Service), [&](const auto &Replica) {
         return Replica->isListed() && Replica->isReachable(Now) &&
-               Replica->pausedUntil() <= LatestStart;
+               Replica->pausedUntil() <= LatestStart &&
+               !Replica->coldStart().isUsedUp(Now);
       });
 }
 
+void countWithheld(const ServiceRegistry &Registry,
+                   std::span<const common::ServiceName> Services,
+                   common::MonotonicTime Now) {
+  for (const common::ServiceName &Service : Services)
+    for (const auto &Replica : Registry.replicas(Service))
+      if (Replica->coldStart().isUsedUp(Now))
+        Replica->coldStart().onWithheld();
+}
+
 } // namespace
 
 std::optional<Refusal>
@@ -39,6 +49,7 @@
       Request.Target->Gather ? Request.Target->Gather->minShards() : 1;
   if (static_cast<std::size_t>(UsableServices) >= MinServices)
     return std::nullopt;
+  countWithheld(Registry, Services, Now);
   return Refusal{common::ResultCode::NoUsableReplica,
                  AvailabilityForecast::untilUsable(
                      Registry, Services, MinServices, Now, RetryDelay),
--- a/Source/Forwarding/ReachabilityAdmission.h
+++ b/Source/Forwarding/ReachabilityAdmission.h
@@ -6,7 +6,8 @@
 namespace acaciacross::forwarding {
 
 /// Rejects requests when too few of their services have a listed and reachable
-/// searcher, for example when all searchers of a service are lost.
+/// searcher, for example when all searchers of a service are lost, or cold with
+/// their allowances used up.
 class ReachabilityAdmission final : public AdmissionPolicy {
 public:
   std::optional<Refusal> check(const ForwardRequest &Request,
--- a/Source/Forwarding/ReplicaRecord.cpp
+++ b/Source/Forwarding/ReplicaRecord.cpp
@@ -71,11 +71,19 @@
 }
 
 bool ReplicaRecord::isUsable(common::MonotonicTime Now) const {
-  return this->isListed() && !this->isPaused(Now) && this->isReachable(Now);
+  return this->isListed() && !this->isPaused(Now) && this->isReachable(Now) &&
+         !this->ColdStart.isUsedUp(Now);
+}
+
+ColdStartAllowance &ReplicaRecord::coldStart() { return this->ColdStart; }
+
+const ColdStartAllowance &ReplicaRecord::coldStart() const {
+  return this->ColdStart;
 }
 
 void ReplicaRecord::onSent(common::MonotonicTime Now) {
   this->Outstanding.insert(Now);
+  this->ColdStart.onSent(Now);
 }
 
 void ReplicaRecord::onAttemptEnded(common::MonotonicTime SentAt) {
--- a/Source/Forwarding/ReplicaRecord.h
+++ b/Source/Forwarding/ReplicaRecord.h
@@ -2,6 +2,7 @@
 #define ACACIACROSS_FORWARDING_REPLICARECORD_H
 
 #include "Common/Time.h"
+#include "Forwarding/ColdStartAllowance.h"
 #include "Forwarding/SearcherEntry.h"
 #include "Forwarding/SearcherLoad.h"
 
@@ -25,9 +26,13 @@
   /// a response that it leaves.
   bool isListed() const;
   /// Whether an attempt may be sent to the searcher now: it is listed,
-  /// reachable and has not asked for a pause.
+  /// reachable, has not asked for a pause and has some of its allowance left
+  /// if it is cold.
   bool isUsable(common::MonotonicTime Now) const;
 
+  ColdStartAllowance &coldStart();
+  const ColdStartAllowance &coldStart() const;
+
   void onSent(common::MonotonicTime Now);
   /// Ends the attempt that was sent at SentAt.
   void onAttemptEnded(common::MonotonicTime SentAt);
@@ -76,6 +81,7 @@
   SearcherEntry Entry;
   bool Removed = false;
   bool Leaving = false;
+  ColdStartAllowance ColdStart;
   common::MonotonicTime PausedUntil;
   std::multiset<common::MonotonicTime> Outstanding;
   double LatencyRatio = 1.0;
--- a/Source/Forwarding/RoutingTable.cpp
+++ b/Source/Forwarding/RoutingTable.cpp
@@ -8,9 +8,11 @@
 
 RoutingTable::RoutingTable(
     std::uint64_t Version, std::vector<Route> Routes,
-    std::map<common::ServiceName, unsigned> MaxConnections, CallerLimits Limits)
+    std::map<common::ServiceName, unsigned> MaxConnections, CallerLimits Limits,
+    ColdStartMap ColdStarts)
     : VersionNumber(Version), Routes(std::move(Routes)),
-      MaxConnections(std::move(MaxConnections)), Limits(Limits) {
+      MaxConnections(std::move(MaxConnections)), Limits(Limits),
+      ColdStarts(std::move(ColdStarts)) {
   for (std::size_t I = 0; I < this->Routes.size(); ++I)
     this->ByPrefix.emplace(keyOf(this->Routes[I].Host, this->Routes[I].Prefix),
                            I);
@@ -42,6 +44,16 @@
   return Found == this->MaxConnections.end() ? nullptr : &Found->second;
 }
 
+const ColdStartTolerance *
+RoutingTable::coldStart(const common::ServiceName &Service) const {
+  const auto Found = this->ColdStarts.find(Service);
+  return Found == this->ColdStarts.end() ? nullptr : &Found->second;
+}
+
+const RoutingTable::ColdStartMap &RoutingTable::coldStarts() const {
+  return this->ColdStarts;
+}
+
 const CallerLimits &RoutingTable::limits() const { return this->Limits; }
 
 const std::vector<Route> &RoutingTable::routes() const { return this->Routes; }
--- a/Source/Forwarding/RoutingTable.h
+++ b/Source/Forwarding/RoutingTable.h
@@ -3,6 +3,7 @@
 
 #include "Common/Identifiers.h"
 #include "Forwarding/CallerLimits.h"
+#include "Forwarding/ColdStartTolerance.h"
 #include "Forwarding/Route.h"
 
 #include <cstdint>
@@ -17,11 +18,14 @@
 /// One version of the routes and limits. Immutable.
 class RoutingTable {
 public:
+  using ColdStartMap = std::map<common::ServiceName, ColdStartTolerance>;
+
   /// MaxConnections: connections that each searcher of a service accepts from
-  /// all VMs together.
+  /// all VMs together. ColdStarts: the services whose searchers state what they
+  /// tolerate while they are cold.
   RoutingTable(std::uint64_t Version, std::vector<Route> Routes,
                std::map<common::ServiceName, unsigned> MaxConnections,
-               CallerLimits Limits);
+               CallerLimits Limits, ColdStartMap ColdStarts = {});
 
   std::uint64_t version() const;
   /// Returns the route of the host with the longest matching path prefix; null
@@ -29,6 +33,9 @@
   const Route *match(std::string_view Host, std::string_view Target) const;
   /// Null for a service that no route uses.
   const unsigned *maxConnections(const common::ServiceName &Service) const;
+  /// Null for a service that states no tolerance.
+  const ColdStartTolerance *coldStart(const common::ServiceName &Service) const;
+  const ColdStartMap &coldStarts() const;
   const CallerLimits &limits() const;
   const std::vector<Route> &routes() const;
 
@@ -39,6 +46,7 @@
   std::vector<Route> Routes;
   std::map<common::ServiceName, unsigned> MaxConnections;
   CallerLimits Limits;
+  ColdStartMap ColdStarts;
   std::unordered_map<std::string, std::size_t> ByPrefix;
 };
 
--- a/Source/Forwarding/SearcherNotice.h
+++ b/Source/Forwarding/SearcherNotice.h
@@ -16,6 +16,10 @@
   std::optional<std::chrono::milliseconds> Pause;
   /// A requested pause that is no valid duration; empty when there is none.
   std::string InvalidPause;
+  /// How long the searcher stays cold; empty when the response does not say it.
+  std::optional<std::chrono::milliseconds> ColdLeft = std::nullopt;
+  /// A time to stay cold that is not valid; empty when there is none.
+  std::string InvalidColdLeft = {};
 };
 
 } // namespace acaciacross::forwarding
--- a/Source/Forwarding/ServiceRegistry.cpp
+++ b/Source/Forwarding/ServiceRegistry.cpp
@@ -5,10 +5,12 @@
 
 namespace acaciacross::forwarding {
 
-ServiceRegistry::ServiceRegistry(RetryBudgetSettings BudgetSettings)
-    : BudgetSettings(BudgetSettings) {}
+ServiceRegistry::ServiceRegistry(RetryBudgetSettings BudgetSettings,
+                                 ColdStartSettings ColdStart)
+    : BudgetSettings(BudgetSettings), Cold(ColdStart) {}
 
-void ServiceRegistry::setSearchers(const std::vector<SearcherEntry> &Entries) {
+void ServiceRegistry::setSearchers(const std::vector<SearcherEntry> &Entries,
+                                   common::MonotonicTime Now) {
   std::map<common::SearcherId, std::shared_ptr<ReplicaRecord>> Listed;
   this->ByService.clear();
   for (const SearcherEntry &Entry : Entries) {
@@ -17,24 +19,30 @@
     if (Known != this->Searchers.end() &&
         Known->second->entry().Service == Entry.Service) {
       Record = Known->second;
+      const SearcherEntry Before = Record->entry();
       Record->update(Entry);
+      this->Cold.onChanged(*Record, Before, Now);
     } else {
       Record = std::make_shared<ReplicaRecord>(Entry);
       this->Notices.applyTo(*Record);
+      this->Cold.onListed(*Record, Now);
     }
     this->ByService[Entry.Service].push_back(Record);
     Listed.emplace(Entry.Id, std::move(Record));
   }
   for (const auto &[Id, Record] : this->Searchers) {
     const auto StillListed = Listed.find(Id);
-    if (StillListed == Listed.end() || StillListed->second != Record)
+    if (StillListed == Listed.end() || StillListed->second != Record) {
       Record->markRemoved();
+      this->Cold.onRemoved(*Record, Now);
+    }
   }
   this->Searchers = std::move(Listed);
 }
 
 void ServiceRegistry::setTable(std::shared_ptr<const RoutingTable> NewTable) {
   this->Table = std::move(NewTable);
+  this->Cold.setTable(this->Table, this->Searchers);
   std::set<std::string> Names;
   for (const Route &Target : this->Table->routes())
     Names.insert(Target.Name);
@@ -47,6 +55,11 @@
 
 void ServiceRegistry::setFleet(const FleetShare &Share) { this->Fleet = Share; }
 
+void ServiceRegistry::setMembers(const FleetMembers &Members,
+                                 common::MonotonicTime Now) {
+  this->Cold.updateMembers(Members, this->Searchers, Now);
+}
+
 bool ServiceRegistry::recordNotice(ReplicaRecord &Record,
                                    const SearcherNotice &Notice,
                                    common::MonotonicTime Now) {
@@ -62,11 +75,18 @@
     Record.onPauseRequested(Now + *Notice.Pause);
     this->Notices.recordPause(Searcher, Now, Now + *Notice.Pause);
   }
-  if (!Notice.InvalidPause.empty())
+  if (Notice.ColdLeft)
+    this->Cold.onReported(Record, *Notice.ColdLeft, Now);
+  if (!Notice.InvalidPause.empty() || !Notice.InvalidColdLeft.empty())
     IsNew = this->Notices.recordInvalid(Searcher, Now) || IsNew;
   return IsNew;
 }
 
+void ServiceRegistry::recordRefusedConnection(ReplicaRecord &Record,
+                                              common::MonotonicTime Now) {
+  this->Cold.onConnectionRefused(Record, Now);
+}
+
 const std::shared_ptr<const RoutingTable> &ServiceRegistry::table() const {
   return this->Table;
 }
@@ -109,6 +129,10 @@
 
 const FleetShare &ServiceRegistry::fleet() const { return this->Fleet; }
 
+const ColdSearchers &ServiceRegistry::coldSearchers() const {
+  return this->Cold;
+}
+
 const std::map<common::SearcherId, std::shared_ptr<ReplicaRecord>> &
 ServiceRegistry::allSearchers() const {
   return this->Searchers;
--- a/Source/Forwarding/ServiceRegistry.h
+++ b/Source/Forwarding/ServiceRegistry.h
@@ -2,6 +2,8 @@
 #define ACACIACROSS_FORWARDING_SERVICEREGISTRY_H
 
 #include "Common/Identifiers.h"
+#include "Forwarding/ColdSearchers.h"
+#include "Forwarding/FleetMembers.h"
 #include "Forwarding/FleetShare.h"
 #include "Forwarding/ReplicaRecord.h"
 #include "Forwarding/RetryBudget.h"
@@ -26,19 +28,27 @@
 /// and budgets persist across changes of the routing table.
 class ServiceRegistry {
 public:
-  explicit ServiceRegistry(RetryBudgetSettings BudgetSettings);
+  explicit ServiceRegistry(RetryBudgetSettings BudgetSettings,
+                           ColdStartSettings ColdStart = {});
 
-  /// Replaces the list of published searchers.
-  void setSearchers(const std::vector<SearcherEntry> &Entries);
+  /// Replaces the list of published searchers. Now: when the entries arrived,
+  /// from which the time that they stay cold is counted.
+  void setSearchers(const std::vector<SearcherEntry> &Entries,
+                    common::MonotonicTime Now = {});
   /// Replaces the routing table and drops the state of routes that it no longer
   /// contains. Retry budgets are kept.
   void setTable(std::shared_ptr<const RoutingTable> NewTable);
   void setFleet(const FleetShare &Share);
+  /// Must be called several times a second.
+  void setMembers(const FleetMembers &Members, common::MonotonicTime Now);
 
   /// Records what a searcher said of itself in a response. Returns whether the
   /// notice changes how the searcher is used or is its first invalid one.
   bool recordNotice(ReplicaRecord &Record, const SearcherNotice &Notice,
                     common::MonotonicTime Now);
+  /// A connection to the searcher was refused.
+  void recordRefusedConnection(ReplicaRecord &Record,
+                               common::MonotonicTime Now);
 
   const std::shared_ptr<const RoutingTable> &table() const;
   std::span<const std::shared_ptr<ReplicaRecord>>
@@ -48,6 +58,7 @@
   RouteLatency latency(const Route &Target) const;
   WeightedRoundRobin &serviceRotation(const std::string &RouteName);
   const FleetShare &fleet() const;
+  const ColdSearchers &coldSearchers() const;
   const std::map<common::SearcherId, std::shared_ptr<ReplicaRecord>> &
   allSearchers() const;
 
@@ -56,6 +67,7 @@
   FleetShare Fleet;
   std::shared_ptr<const RoutingTable> Table;
   SearcherNotices Notices;
+  ColdSearchers Cold;
   std::map<common::SearcherId, std::shared_ptr<ReplicaRecord>> Searchers;
   std::unordered_map<common::ServiceName,
                      std::vector<std::shared_ptr<ReplicaRecord>>>
--- a/Source/Gateway/AttemptRecorder.cpp
+++ b/Source/Gateway/AttemptRecorder.cpp
@@ -38,6 +38,7 @@
     Replica.onUnreachable(Now);
     return;
   }
+  Replica.coldStart().onAnswered(Now);
   if (Metadata.IsNotRun) {
     Replica.onBusy(Now);
     return;
--- a/Source/Gateway/NoticeLog.cpp
+++ b/Source/Gateway/NoticeLog.cpp
@@ -30,6 +30,12 @@
                         .text("field", "requested pause")
                         .text("value", Notice.InvalidPause)
                         .text("allowed", "a number of seconds above 0"));
+  if (!Notice.InvalidColdLeft.empty())
+    this->Log.write(
+        lineFor(common::LogEvent::ResponseHeaderInvalid, Attempt)
+            .text("field", "time to stay cold")
+            .text("value", Notice.InvalidColdLeft)
+            .text("allowed", "whole milliseconds from 0 to one day"));
 }
 
 } // namespace acaciacross::gateway
--- a/Source/Gateway/UpstreamConnection.cpp
+++ b/Source/Gateway/UpstreamConnection.cpp
@@ -72,6 +72,8 @@
 
 bool UpstreamConnection::hasAnswered() const { return this->Answered; }
 
+bool UpstreamConnection::wasRefused() const { return this->Refused; }
+
 void UpstreamConnection::onReady(std::uint32_t Events) {
   const std::shared_ptr<UpstreamConnection> Self = this->shared_from_this();
   if (!this->Connected) {
@@ -89,7 +91,8 @@
 }
 
 void UpstreamConnection::finishConnect() {
-  if (net::takeSocketError(this->Socket) != 0) {
+  if (const int Error = net::takeSocketError(this->Socket)) {
+    this->Refused = Error == ECONNREFUSED;
     this->abort();
     return;
   }
--- a/Source/Gateway/UpstreamConnection.h
+++ b/Source/Gateway/UpstreamConnection.h
@@ -36,6 +36,8 @@
   bool isClosed() const;
   /// Whether a complete response has been read on this connection.
   bool hasAnswered() const;
+  /// Whether no process accepts connections at the address.
+  bool wasRefused() const;
 
 private:
   void onReady(std::uint32_t Events) override;
@@ -54,6 +56,7 @@
   /// Whether a request was sent whose response is not complete.
   bool Busy = false;
   bool Answered = false;
+  bool Refused = false;
   /// Messages since the last request that did not answer it.
   unsigned IgnoredCount = 0;
   /// Whether sending has failed, so that the end of the connection does not
--- a/Source/Gateway/UpstreamSender.cpp
+++ b/Source/Gateway/UpstreamSender.cpp
@@ -164,7 +164,9 @@
     return;
   const auto It = this->Attempts.find(Found->second);
   const forwarding::ReplicaRecord &Replica = *It->second.Replica;
-  if (Replica.isLeaving() || Replica.isPaused(this->Loop.now()))
+  const common::MonotonicTime Now = this->Loop.now();
+  if (Replica.isLeaving() || Replica.isPaused(Now) ||
+      Replica.coldStart().isOverdrawn(Now))
     this->withdraw(It);
   else
     this->send(It->second);
@@ -243,6 +245,8 @@
     Attempt.Replica->onFailed(Now);
   else
     Attempt.Replica->onUnreachable(Now);
+  if (Connection.wasRefused())
+    this->Registry.recordRefusedConnection(*Attempt.Replica, Now);
   const auto Pool = this->Pools.find(Attempt.Replica->entry().Id);
   if (WasSent && !Connection.hasAnswered() && Pool != this->Pools.end())
     Pool->second.noteRejected(Now);
@@ -254,10 +258,11 @@
   this->notifyConnectionAvailable(Attempt.Replica->entry().Service);
 }
 
-// The searcher has announced that it leaves, or asked for a pause, while the
-// connection was set up.
+// The searcher has announced that it leaves, asked for a pause or become cold
+// while the connection was set up.
 void UpstreamSender::withdraw(AttemptMap::iterator It) {
   const UpstreamAttempt Attempt = this->removeAttempt(It);
+  Attempt.Replica->coldStart().onWithdrawn(Attempt.StartedAt);
   this->closeConnection(Attempt);
   if (Attempt.Listener != nullptr) {
     forwarding::AttemptResult Result;
--- a/Source/Node/MetricsSource.cpp
+++ b/Source/Node/MetricsSource.cpp
@@ -60,15 +60,24 @@
   std::set<common::ServiceName> Services;
   std::size_t LeavingCount = 0;
   std::size_t PausedCount = 0;
+  std::size_t ColdCount = 0;
+  std::uint64_t WithheldCount =
+      this->Registry.coldSearchers().unlistedWithheldCount();
   for (const auto &[Id, Record] : this->Registry.allSearchers()) {
     Services.insert(Record->entry().Service);
     LeavingCount += Record->isLeaving() ? 1 : 0;
     PausedCount += Record->isPaused(this->Time.monotonicNow()) ? 1 : 0;
+    ColdCount += Record->coldStart().isCold(this->Time.monotonicNow()) ? 1 : 0;
+    WithheldCount += Record->coldStart().withheldCount();
   }
   Page << "# TYPE acaciacross_searchers_leaving gauge\n"
        << "acaciacross_searchers_leaving " << LeavingCount
        << "\n# TYPE acaciacross_searchers_paused gauge\n"
-       << "acaciacross_searchers_paused " << PausedCount << '\n'
+       << "acaciacross_searchers_paused " << PausedCount
+       << "\n# TYPE acaciacross_searchers_cold gauge\n"
+       << "acaciacross_searchers_cold " << ColdCount
+       << "\n# TYPE acaciacross_cold_withheld_total counter\n"
+       << "acaciacross_cold_withheld_total " << WithheldCount << '\n'
        << "# TYPE acaciacross_repeat_budget_left gauge\n"
        << "# TYPE acaciacross_searchers gauge\n"
        << "# TYPE acaciacross_waiting gauge\n";
--- a/Source/Node/NodeSettings.h
+++ b/Source/Node/NodeSettings.h
@@ -3,6 +3,7 @@
 
 #include "Common/Address.h"
 #include "Common/Identifiers.h"
+#include "Forwarding/ColdStartSettings.h"
 #include "Forwarding/RetryBudgetSettings.h"
 
 #include <chrono>
@@ -33,12 +34,15 @@
   /// Address of the store that publishes routes and searchers.
   common::Address StoreAddress;
   forwarding::RetryBudgetSettings RetryBudget;
+  forwarding::ColdStartSettings ColdStart;
   /// Memory of this VM.
   std::size_t MemoryBytes = std::size_t{128} << 20;
   /// Maximum time until a change in the store is in effect on this VM.
   std::chrono::milliseconds MaxChangeDelay{3'000};
   /// Time from the stop signal until the process is killed.
   std::chrono::milliseconds StopLimit{6'000};
+  /// Settings that were left out because they are not valid, and why.
+  std::vector<std::string> Problems;
 };
 
 } // namespace acaciacross::node
--- a/Source/Node/TrafficThread.cpp
+++ b/Source/Node/TrafficThread.cpp
@@ -18,7 +18,7 @@
                              logging::EventLog &Log)
     : Time(TimeSource), Loop(TimeSource), Handover(this->Loop, Log),
       Random(common::SeededRandom::fromSystem()),
-      Registry(Settings.RetryBudget),
+      Registry(Settings.RetryBudget, Settings.ColdStart),
       Sender(this->Loop, this->Registry, Encodings.searchers(), Log,
              {Settings.FailureDomain,
               Settings.MemoryBytes / ResponseMemoryDivisor}),
@@ -29,7 +29,7 @@
       Requests(this->Loop, this->Dependencies, this->Admission,
                Encodings.callers(), Log),
       Metrics(this->Requests, this->Sender, this->Registry, Log, TimeSource),
-      Readiness(Encodings.readinessPage(*this)),
+      ColdLog(this->Registry, Log), Readiness(Encodings.readinessPage(*this)),
       Directory(Encodings.directoryPage(*this)), MetricsPages(this->Metrics),
       ReadinessPages(*this->Readiness), DirectoryPages(*this->Directory),
       CallerListener(this->Loop, Settings.CallerAddress, this->Requests),
@@ -59,7 +59,7 @@
     common::MonotonicTime TableAcceptedAt) {
   this->Loop.post([this, Searchers = std::move(Searchers),
                    Table = std::move(Table), TableAcceptedAt] {
-    this->Registry.setSearchers(Searchers);
+    this->Registry.setSearchers(Searchers, this->Loop.now());
     if (Table != nullptr && Table != this->Registry.table()) {
       this->Handover.replace(this->Registry.table(), *Table, TableAcceptedAt);
       this->Registry.setTable(Table);
@@ -72,6 +72,7 @@
   this->Loop.post([this, View = std::move(View)] {
     this->Fleet = View;
     this->updateFleetShare();
+    this->updateFleetMembers();
   });
 }
 
@@ -125,6 +126,17 @@
     this->Sender.closeIdle();
 }
 
+void TrafficThread::updateFleetMembers() {
+  forwarding::FleetMembers Members;
+  Members.Self = this->Fleet.EntryVms.front().Vm;
+  Members.Placed = this->Fleet.PlacedVms;
+  Members.Live = this->Fleet.LiveVms;
+  Members.IsKnown = this->Fleet.IsComplete && this->Registry.fleet().isKnown();
+  const common::MonotonicTime Now = this->Loop.now();
+  this->Registry.setMembers(Members, Now);
+  this->ColdLog.update(Now);
+}
+
 bool TrafficThread::isReady() const {
   return !this->Stopping && this->Registry.table() != nullptr &&
          !this->Registry.allSearchers().empty();
--- a/Source/Node/TrafficThread.h
+++ b/Source/Node/TrafficThread.h
@@ -17,6 +17,7 @@
 #include "Gateway/PageHandler.h"
 #include "Gateway/UpstreamSender.h"
 #include "Membership/StopSchedule.h"
+#include "Node/ColdSearcherLog.h"
 #include "Node/MetricsSource.h"
 #include "Node/NodeEncodings.h"
 #include "Node/NodeSettings.h"
@@ -70,6 +71,8 @@
   void awaitCallers();
   /// Updates the service registry with this VM's share of the fleet.
   void updateFleetShare();
+  /// Updates the service registry with the members of the fleet.
+  void updateFleetMembers();
 
   const common::Clock &Time;
   net::EventLoop Loop;
@@ -87,6 +90,7 @@
   forwarding::ForwardingDependencies Dependencies;
   gateway::ForwardingHandler Requests;
   MetricsSource Metrics;
+  ColdSearcherLog ColdLog;
   std::unique_ptr<gateway::PageSource> Readiness;
   std::unique_ptr<gateway::PageSource> Directory;
   gateway::PageHandler MetricsPages;
--- a/Source/Programs/PlatformNode/main.cpp
+++ b/Source/Programs/PlatformNode/main.cpp
@@ -106,6 +106,10 @@
     return SettingsExitStatus;
   }
   Log.setVm(Settings.Vm.Value);
+  for (const std::string &Problem : Settings.Problems)
+    Log.write(logging::LogRecord(common::LogEvent::SettingsRefused)
+                  .text("reason", Problem)
+                  .flag("left_out", true));
   if (FLAGS_check) {
     std::cout << "settings of " << Settings.Vm.Value << " are valid\n";
     return 0;
--- a/Source/UnitTests/Forwarding/ExecutionFixture.h
+++ b/Source/UnitTests/Forwarding/ExecutionFixture.h
@@ -95,7 +95,8 @@
   testsupport::ManualClock Time;
   common::SeededRandom Random{1};
   ServiceRegistry Registry{
-      RetryBudgetSettings{0.2, 1'000.0, std::chrono::milliseconds(10'000)}};
+      RetryBudgetSettings{0.2, 1'000.0, std::chrono::milliseconds(10'000)},
+      ColdStartSettings{1.5, 5.0}};
   FakeAttemptSender Sender;
   LeastDelaySelector Selector{this->Random, ""};
   TailHedgePolicy Hedges;
--- a/Source/UnitTests/platform/CodecTest.cpp
+++ b/Source/UnitTests/platform/CodecTest.cpp
@@ -117,6 +117,29 @@
 
 // A number that is cut to fewer bits or followed by other characters must not
 // count as a small load.
+TEST_F(CodecTest, ResponseTellsHowLongItsSearcherStaysCold) {
+  const auto Notice = [this](const std::string &Value) {
+    return this->Searchers
+        .decode(makeResponse(200, {{"X-Cold-Remaining", Value}}))
+        .Notice;
+  };
+  EXPECT_EQ(Notice("2500").ColdLeft, std::chrono::milliseconds(2'500));
+  EXPECT_EQ(Notice("0").ColdLeft, std::chrono::milliseconds(0));
+  EXPECT_FALSE(this->Searchers.decode(makeResponse(200, {})).Notice.ColdLeft);
+}
+
+// A wrong time must neither stop the searcher's use nor lift its limit.
+TEST_F(CodecTest, InvalidTimeToStayColdIsReportedAndIgnored) {
+  for (const char *Text :
+       {"", "-1", "nan", "soon", "1.5", "86400001", "99999999999999999999"}) {
+    const auto Notice =
+        this->Searchers.decode(makeResponse(200, {{"X-Cold-Remaining", Text}}))
+            .Notice;
+    EXPECT_FALSE(Notice.ColdLeft) << Text;
+    EXPECT_FALSE(Notice.InvalidColdLeft.empty()) << Text;
+  }
+}
+
 TEST_F(CodecTest, LoadOutOfRangeIsIgnored) {
   for (const char *Text :
        {"4294967296,0,4", "1,-1,4", "1,0,4x", "1,0,99999999999999999999"})
--- a/Source/UnitTests/platform/NodeTrafficFixture.h
+++ b/Source/UnitTests/platform/NodeTrafficFixture.h
@@ -91,7 +91,7 @@
                                std::make_shared<const forwarding::RoutingTable>(
                                    1, std::move(Routes),
                                    std::map<common::ServiceName, unsigned>(),
-                                   Limits),
+                                   Limits, this->ColdStarts),
                                this->Time.monotonicNow());
     fleet::FleetView View;
     View.EntryVms = {{this->Settings.Vm, this->Settings.CallerAddress, "z1",
@@ -140,6 +140,7 @@
   node::NodeSettings Settings;
   std::vector<std::unique_ptr<Upstream>> Upstreams;
   std::vector<forwarding::SearcherEntry> Searchers;
+  forwarding::RoutingTable::ColdStartMap ColdStarts;
   /// Shards of a further route "/extra/".
   std::vector<common::ServiceName> ExtraShards;
   std::unique_ptr<node::TrafficThread> Thread;
--- a/Source/UnitTests/platform/SettingsDecoderTest.cpp
+++ b/Source/UnitTests/platform/SettingsDecoderTest.cpp
@@ -53,6 +53,32 @@
   EXPECT_EQ(Settings.StopLimit, std::chrono::milliseconds(6'000));
 }
 
+TEST_F(SettingsDecoderTest, BoundsOfColdSearchersAreRead) {
+  const node::NodeSettings Settings = SettingsDecoder::decode(
+      replaceFirst(this->Text, "grace_s = 6",
+                   "grace_s = 6\ncold_overage = 1.5\ncold_slack = 5"),
+      9464);
+  EXPECT_EQ(Settings.ColdStart.Overage, 1.5);
+  EXPECT_EQ(Settings.ColdStart.Slack, 5.0);
+  EXPECT_TRUE(Settings.Problems.empty());
+}
+
+// A VM can do without them and must not fail to start.
+TEST_F(SettingsDecoderTest, InvalidBoundsOfColdSearchersAreLeftOut) {
+  for (const char *Line :
+       {"cold_overage = -1", "cold_overage = nan", "cold_overage = 1e300",
+        "cold_slack = \"many\"", "cold_slack = inf", "cold_slack = -0.1"}) {
+    const node::NodeSettings Settings = SettingsDecoder::decode(
+        replaceFirst(this->Text, "grace_s = 6",
+                     std::string("grace_s = 6\n") + Line),
+        9464);
+    EXPECT_EQ(Settings.ColdStart.Overage, 1.0) << Line;
+    EXPECT_EQ(Settings.ColdStart.Slack, 0.0) << Line;
+    ASSERT_EQ(Settings.Problems.size(), 1U) << Line;
+    EXPECT_NE(Settings.Problems.front().find("allowed"), std::string::npos);
+  }
+}
+
 // The settings list seeds with a TCP port that this program does not open, so a
 // probe to that port would get no answer. All VMs share the peer port.
 TEST_F(SettingsDecoderTest, SeedsUseThePeerPort) {
--- a/Source/UnitTests/platform/StoreItemDecoderTest.cpp
+++ b/Source/UnitTests/platform/StoreItemDecoderTest.cpp
@@ -196,4 +196,51 @@
   EXPECT_EQ(Table->limits().IdleTimeout, std::chrono::milliseconds(400));
 }
 
+TEST_F(StoreItemDecoderTest, RoutingTableCarriesToleranceOfColdSearchers) {
+  const auto Table =
+      this->decode("op/config",
+                   replaceFirst(this->Routes, "\"max_conns\":26",
+                                "\"max_conns\":26,\"cold_start_s\":2.5,"
+                                "\"cold_per_s\":12.5"))
+          .Table;
+  ASSERT_NE(Table, nullptr);
+  const auto *ColdStart = Table->coldStart(common::ServiceName("s"));
+  ASSERT_NE(ColdStart, nullptr);
+  EXPECT_EQ(ColdStart->Duration, std::chrono::milliseconds(2'500));
+  EXPECT_EQ(ColdStart->RequestsPerSecond, 12.5);
+}
+
+// Other deployments state no tolerance and must be used as before.
+TEST_F(StoreItemDecoderTest, ServiceWithoutColdRateHasNoTolerance) {
+  for (const char *Fields :
+       {"", ",\"cold_per_s\":0", ",\"cold_start_s\":3,\"cold_per_s\":0.0",
+        ",\"cold_start_s\":3"}) {
+    const auto Item = this->decode(
+        "op/config", replaceFirst(this->Routes, "\"max_conns\":26",
+                                  std::string("\"max_conns\":26") + Fields));
+    ASSERT_NE(Item.Table, nullptr) << Fields;
+    EXPECT_TRUE(Item.LeftOut.empty()) << Fields;
+    EXPECT_EQ(Item.Table->coldStart(common::ServiceName("s")), nullptr)
+        << Fields;
+  }
+}
+
+// The service and its other limits must stay in use.
+TEST_F(StoreItemDecoderTest, InvalidToleranceIsLeftOutAlone) {
+  for (const char *Field :
+       {"\"cold_per_s\":-1", "\"cold_per_s\":\"x\"", "\"cold_per_s\":1e300",
+        "\"cold_per_s\":[1]", "\"cold_start_s\":-0.5", "\"cold_start_s\":1e12",
+        "\"cold_start_s\":\"NaN\""}) {
+    const auto Item = this->decode(
+        "op/config", replaceFirst(this->Routes, "\"max_conns\":26",
+                                  std::string("\"max_conns\":26,") + Field));
+    ASSERT_NE(Item.Table, nullptr) << Field;
+    ASSERT_EQ(Item.LeftOut.size(), 1U) << Field;
+    EXPECT_NE(Item.LeftOut.front().find("allowed"), std::string::npos);
+    EXPECT_EQ(*Item.Table->maxConnections(common::ServiceName("s")), 26U);
+    EXPECT_EQ(Item.Table->coldStart(common::ServiceName("s")), nullptr)
+        << Field;
+  }
+}
+
 } // namespace acaciacross::adapter
