Forwarding: a searcher that cannot be connected to may return cold

A refused connection alone missed searchers that are silent before they return. Connections that time out now count as well; resets do not, because searchers reset connections beyond their limit. A node test guards it.

--- a/Source/Forwarding/ColdSearchers.cpp
+++ b/Source/Forwarding/ColdSearchers.cpp
@@ -105,9 +105,9 @@
     this->mark(Record);
 }
 
-void ColdSearchers::onConnectionRefused(ReplicaRecord &Record,
-                                        common::MonotonicTime Now) {
-  Record.coldStart().onConnectionRefused(Now);
+void ColdSearchers::onConnectFailed(ReplicaRecord &Record,
+                                    common::MonotonicTime Now) {
+  Record.coldStart().onConnectFailed(Now);
   if (Record.coldStart().isMarked(Now))
     this->mark(Record);
 }
--- a/Source/Forwarding/ColdSearchers.h
+++ b/Source/Forwarding/ColdSearchers.h
@@ -46,7 +46,7 @@
   void onRemoved(const ReplicaRecord &Record, common::MonotonicTime Now);
   void onReported(ReplicaRecord &Record, std::chrono::milliseconds ColdLeft,
                   common::MonotonicTime Now);
-  void onConnectionRefused(ReplicaRecord &Record, common::MonotonicTime Now);
+  void onConnectFailed(ReplicaRecord &Record, common::MonotonicTime Now);
 
   /// The searchers that are cold or may be. May hold some that are warm since.
   const std::set<common::SearcherId> &marked() const;
--- a/Source/Forwarding/ColdStartAllowance.cpp
+++ b/Source/Forwarding/ColdStartAllowance.cpp
@@ -42,7 +42,7 @@
   this->ReportedAt = Now;
 }
 
-void ColdStartAllowance::onConnectionRefused(common::MonotonicTime Now) {
+void ColdStartAllowance::onConnectFailed(common::MonotonicTime Now) {
   if (!this->Limit)
     return;
   this->MayHaveRestarted = true;
--- a/Source/Forwarding/ColdStartAllowance.h
+++ b/Source/Forwarding/ColdStartAllowance.h
@@ -28,8 +28,9 @@
   /// A response says how long the searcher stays cold.
   void onReported(common::MonotonicTime Now,
                   std::chrono::milliseconds ColdLeft);
-  /// No process accepts connections at the address of the searcher.
-  void onConnectionRefused(common::MonotonicTime Now);
+  /// No connection to the searcher could be set up, so it may be restarted
+  /// before the next one.
+  void onConnectFailed(common::MonotonicTime Now);
   void onAnswered(common::MonotonicTime Now);
   void onSent(common::MonotonicTime Now);
   /// The attempt that was to be sent at SentAt was not sent.
--- a/Source/Forwarding/ServiceRegistry.cpp
+++ b/Source/Forwarding/ServiceRegistry.cpp
@@ -82,9 +82,9 @@
   return IsNew;
 }
 
-void ServiceRegistry::recordRefusedConnection(ReplicaRecord &Record,
-                                              common::MonotonicTime Now) {
-  this->Cold.onConnectionRefused(Record, Now);
+void ServiceRegistry::recordFailedConnect(ReplicaRecord &Record,
+                                          common::MonotonicTime Now) {
+  this->Cold.onConnectFailed(Record, Now);
 }
 
 const std::shared_ptr<const RoutingTable> &ServiceRegistry::table() const {
--- a/Source/Forwarding/ServiceRegistry.h
+++ b/Source/Forwarding/ServiceRegistry.h
@@ -46,9 +46,8 @@
   /// notice changes how the searcher is used or is its first invalid one.
   bool recordNotice(ReplicaRecord &Record, const SearcherNotice &Notice,
                     common::MonotonicTime Now);
-  /// A connection to the searcher was refused.
-  void recordRefusedConnection(ReplicaRecord &Record,
-                               common::MonotonicTime Now);
+  /// No connection to the searcher could be set up.
+  void recordFailedConnect(ReplicaRecord &Record, common::MonotonicTime Now);
 
   const std::shared_ptr<const RoutingTable> &table() const;
   std::span<const std::shared_ptr<ReplicaRecord>>
--- a/Source/Gateway/UpstreamConnection.cpp
+++ b/Source/Gateway/UpstreamConnection.cpp
@@ -43,9 +43,9 @@
   }
   this->Interest = EPOLLOUT;
   this->Loop.add(this->Socket.get(), *this, this->Interest);
-  this->ConnectTimer =
-      this->Loop.schedule(this->Loop.now() + ConnectTimeout,
-                          [Self = this->shared_from_this()] { Self->abort(); });
+  this->ConnectTimer = this->Loop.schedule(
+      this->Loop.now() + ConnectTimeout,
+      [Self = this->shared_from_this()] { Self->onConnectTimeout(); });
 }
 
 void UpstreamConnection::send(std::string_view Bytes, bool HasBody) {
@@ -72,7 +72,7 @@
 
 bool UpstreamConnection::hasAnswered() const { return this->Answered; }
 
-bool UpstreamConnection::wasRefused() const { return this->Refused; }
+bool UpstreamConnection::wasUnreachable() const { return this->Unreachable; }
 
 void UpstreamConnection::onReady(std::uint32_t Events) {
   const std::shared_ptr<UpstreamConnection> Self = this->shared_from_this();
@@ -92,7 +92,7 @@
 
 void UpstreamConnection::finishConnect() {
   if (const int Error = net::takeSocketError(this->Socket)) {
-    this->Refused = Error == ECONNREFUSED;
+    this->Unreachable = Error != ECONNRESET;
     this->abort();
     return;
   }
@@ -103,6 +103,11 @@
   this->Listener.onConnected(*this);
 }
 
+void UpstreamConnection::onConnectTimeout() {
+  this->Unreachable = true;
+  this->abort();
+}
+
 void UpstreamConnection::onReadable() {
   std::array<char, ReadBufferBytes> Buffer;
   const ssize_t Count =
--- a/Source/Gateway/UpstreamConnection.h
+++ b/Source/Gateway/UpstreamConnection.h
@@ -36,12 +36,14 @@
   bool isClosed() const;
   /// Whether a complete response has been read on this connection.
   bool hasAnswered() const;
-  /// Whether no process accepts connections at the address.
-  bool wasRefused() const;
+  /// Whether the connection could not be set up, other than by a reset. A
+  /// searcher resets connections beyond its limit.
+  bool wasUnreachable() const;
 
 private:
   void onReady(std::uint32_t Events) override;
   void finishConnect();
+  void onConnectTimeout();
   void onReadable();
   void parse(std::string_view Bytes);
   void write(std::string_view Bytes);
@@ -56,7 +58,7 @@
   /// Whether a request was sent whose response is not complete.
   bool Busy = false;
   bool Answered = false;
-  bool Refused = false;
+  bool Unreachable = false;
   /// Messages since the last request that did not answer it.
   unsigned IgnoredCount = 0;
   /// Whether sending has failed, so that the end of the connection does not
--- a/Source/Gateway/UpstreamSender.cpp
+++ b/Source/Gateway/UpstreamSender.cpp
@@ -245,8 +245,8 @@
     Attempt.Replica->onFailed(Now);
   else
     Attempt.Replica->onUnreachable(Now);
-  if (Connection.wasRefused())
-    this->Registry.recordRefusedConnection(*Attempt.Replica, Now);
+  if (Connection.wasUnreachable())
+    this->Registry.recordFailedConnect(*Attempt.Replica, Now);
   const auto Pool = this->Pools.find(Attempt.Replica->entry().Id);
   if (WasSent && !Connection.hasAnswered() && Pool != this->Pools.end())
     Pool->second.noteRejected(Now);
--- a/Source/UnitTests/Forwarding/ColdSearchersTest.cpp
+++ b/Source/UnitTests/Forwarding/ColdSearchersTest.cpp
@@ -145,8 +145,8 @@
 }
 
 // A searcher that restarts may be used again before its entry changes.
-TEST_F(ColdSearchersTest, SearcherThatRefusedAConnectionIsLimited) {
-  this->Registry.recordRefusedConnection(this->record(0), this->now());
+TEST_F(ColdSearchersTest, SearcherThatCouldNotBeConnectedToIsLimited) {
+  this->Registry.recordFailedConnect(this->record(0), this->now());
   EXPECT_EQ(this->sendAll(0), 1);
 }
 
--- a/Source/UnitTests/Forwarding/ColdStartAllowanceTest.cpp
+++ b/Source/UnitTests/Forwarding/ColdStartAllowanceTest.cpp
@@ -38,7 +38,7 @@
 TEST_F(ColdStartAllowanceTest, ColdSearcherWithoutToleranceIsNotLimited) {
   this->Allowance.setLimit(std::nullopt);
   this->Allowance.onEntry(this->now(), milliseconds(3'000));
-  this->Allowance.onConnectionRefused(this->now());
+  this->Allowance.onConnectFailed(this->now());
   EXPECT_FALSE(this->Allowance.isCold(this->now()));
   EXPECT_EQ(this->sendAll(), 100);
 }
@@ -116,8 +116,8 @@
 }
 
 // The entry of a searcher that restarts quickly still says that it is warm.
-TEST_F(ColdStartAllowanceTest, SearcherThatAnswersAfterARefusalIsCold) {
-  this->Allowance.onConnectionRefused(this->now());
+TEST_F(ColdStartAllowanceTest, SearcherThatAnswersAfterAFailedConnectIsCold) {
+  this->Allowance.onConnectFailed(this->now());
   EXPECT_EQ(this->sendAll(), 2);
   this->Time.advance(milliseconds(1'200));
   this->Allowance.onAnswered(this->now());
@@ -127,8 +127,8 @@
   EXPECT_FALSE(this->Allowance.isCold(this->now()));
 }
 
-TEST_F(ColdStartAllowanceTest, EntryAfterARefusalIsBelieved) {
-  this->Allowance.onConnectionRefused(this->now());
+TEST_F(ColdStartAllowanceTest, EntryAfterAFailedConnectIsBelieved) {
+  this->Allowance.onConnectFailed(this->now());
   this->Allowance.onEntry(this->now(), milliseconds(0));
   EXPECT_FALSE(this->Allowance.isMarked(this->now()));
 }
--- a/Source/UnitTests/platform/NodeColdSearcherTest.cpp
+++ b/Source/UnitTests/platform/NodeColdSearcherTest.cpp
@@ -41,6 +41,19 @@
   EXPECT_EQ(Cold.requests().size(), 1U);
 }
 
+// A searcher that restarts quickly accepts connections before its entry
+// changes.
+TEST_F(NodeColdSearcherTest, SearcherThatCannotBeConnectedToMayReturnCold) {
+  forwarding::SearcherEntry Stopped;
+  Stopped.Id = common::SearcherId("i-1");
+  Stopped.Service = common::ServiceName("p");
+  Stopped.Endpoint = testsupport::findFreeAddress();
+  this->Searchers.push_back(Stopped);
+  this->publishConfiguration();
+  EXPECT_TRUE(contains(this->sendRequest("GET /safe/x"), "503"));
+  EXPECT_TRUE(contains(this->metrics(), "acaciacross_searchers_cold 1\n"));
+}
+
 TEST_F(NodeColdSearcherTest, ServiceWithoutToleranceIsUsedWhileCold) {
   this->ColdStarts.clear();
   this->addSearcher("p", [](std::size_t, const std::string &) {
