--- a/Source/Node/TrafficThread.cpp
+++ b/Source/Node/TrafficThread.cpp
@@ -1,5 +1,6 @@
 #include "Node/TrafficThread.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace acaciacross::node {
@@ -38,7 +39,11 @@
       DirectoryListener(this->Loop, Settings.DirectoryAddress,
                         this->DirectoryPages),
       MetricsListener(this->Loop, Settings.MetricsAddress, this->MetricsPages),
-      VmSelector(this->Random) {}
+      VmSelector(this->Random),
+      HasOtherSeeds(std::ranges::any_of(Settings.SeedAddresses,
+                                        [&](const common::Address &Seed) {
+                                          return Seed != Settings.PeerAddress;
+                                        })) {}
 
 TrafficThread::~TrafficThread() { this->stop(); }
 
@@ -131,7 +136,10 @@
   Members.Self = this->Fleet.EntryVms.front().Vm;
   Members.Placed = this->Fleet.PlacedVms;
   Members.Live = this->Fleet.LiveVms;
-  Members.IsKnown = this->Fleet.IsComplete && this->Registry.fleet().isKnown();
+  // A VM that has started and finds nobody may be cut off from the others.
+  const bool HasFoundPeers = Members.Live.size() > 1 || !this->HasOtherSeeds;
+  Members.IsKnown = HasFoundPeers && this->Fleet.IsComplete &&
+                    this->Registry.fleet().isKnown();
   const common::MonotonicTime Now = this->Loop.now();
   this->Registry.setMembers(Members, Now);
   this->ColdLog.update(Now);
--- a/Source/Node/TrafficThread.h
+++ b/Source/Node/TrafficThread.h
@@ -102,6 +102,8 @@
   gateway::Listener MetricsListener;
   routing::EntryVmSelector VmSelector;
   fleet::FleetView Fleet;
+  /// Whether the settings name other VMs of the fleet.
+  bool HasOtherSeeds = false;
   bool Stopping = false;
   std::atomic<bool> HasFinishedCallers = false;
   std::thread Worker;
--- a/Source/UnitTests/Forwarding/ColdStartFleetTest.cpp
+++ b/Source/UnitTests/Forwarding/ColdStartFleetTest.cpp
@@ -40,6 +40,8 @@
     this->PartitionFrom = this->randomTime(5'000, 25'000);
     this->PartitionUntil = this->PartitionFrom + this->randomTime(0, 12'000);
     this->PlacedCounts = {8 + this->random(8), 8 + this->random(24)};
+    if (this->random(2) == 0)
+      this->Groups = this->Vms.size();
     const bool AreAllStopped = this->random(3) == 0;
     const milliseconds AllDownFrom = this->randomTime(10'000, 25'000);
     for (Vm &Current : this->Vms) {
@@ -83,15 +85,17 @@
     const bool IsLoaded = Seen / milliseconds(7'000) % 2 == 1;
     const std::size_t PlacedCount = this->PlacedCounts[IsLoaded ? 1 : 0];
     for (std::size_t I = 0; I < this->Vms.size(); ++I) {
-      const bool IsReached = Members.IsKnown &&
-                             (!IsSplit || I % 2 == Self % 2) &&
-                             isUp(this->Vms[I], Seen);
+      const bool IsReached =
+          Members.IsKnown &&
+          (!IsSplit || I % this->Groups == Self % this->Groups) &&
+          isUp(this->Vms[I], Seen);
       if (I != Self && !IsReached)
         continue;
       Members.Live.push_back(idOf(I));
       if (Members.Placed.size() < PlacedCount)
         Members.Placed.insert(idOf(I));
     }
+    Members.IsKnown = Members.IsKnown && Members.Live.size() > 1;
     return Members;
   }
 
@@ -154,6 +158,8 @@
   ColdStartTolerance Tolerance;
   milliseconds PartitionFrom{0};
   milliseconds PartitionUntil{0};
+  /// Number of groups that do not reach each other during the partition.
+  std::size_t Groups = 2;
   std::array<unsigned, 2> PlacedCounts{};
   std::vector<Arrival> Arrivals;
 };
