--- a/Source/Common/LogEvent.cpp
+++ b/Source/Common/LogEvent.cpp
@@ -54,6 +54,8 @@
     LogEvent::ResponseBuffersFull,
     LogEvent::DomainEvacuated,
     LogEvent::DomainEvacuationEnded,
+    LogEvent::SearcherCold,
+    LogEvent::SearcherWarm,
     LogEvent::RequestRefused,
     LogEvent::RequestFailed,
     LogEvent::ReplyDiscarded,
@@ -163,6 +165,10 @@
     return "DomainEvacuated";
   case LogEvent::DomainEvacuationEnded:
     return "DomainEvacuationEnded";
+  case LogEvent::SearcherCold:
+    return "SearcherCold";
+  case LogEvent::SearcherWarm:
+    return "SearcherWarm";
   case LogEvent::RequestRefused:
     return "RequestRefused";
   case LogEvent::RequestFailed:
--- a/Source/Common/LogEvent.h
+++ b/Source/Common/LogEvent.h
@@ -61,6 +61,8 @@
   ResponseBuffersFull = 412,
   DomainEvacuated = 413,
   DomainEvacuationEnded = 414,
+  SearcherCold = 416,
+  SearcherWarm = 417,
 
   RequestRefused = 500,
   RequestFailed = 501,
--- a/Source/Forwarding/ServiceRegistry.cpp
+++ b/Source/Forwarding/ServiceRegistry.cpp
@@ -7,8 +7,10 @@
 namespace acaciacross::forwarding {
 
 ServiceRegistry::ServiceRegistry(RetryBudgetSettings BudgetSettings,
+                                 ColdStartSettings ColdStart,
                                  common::RegionMap Regions)
-    : BudgetSettings(BudgetSettings), Regions(std::move(Regions)) {}
+    : BudgetSettings(BudgetSettings), Regions(std::move(Regions)),
+      Cold(ColdStart) {}
 
 void ServiceRegistry::setEvacuatedDomains(std::set<std::string> Domains) {
   this->EvacuatedDomains = std::move(Domains);
@@ -17,7 +19,8 @@
         this->EvacuatedDomains.contains(Record->entry().FailureDomain));
 }
 
-void ServiceRegistry::setSearchers(const std::vector<SearcherEntry> &Entries) {
+void ServiceRegistry::setSearchers(const std::vector<SearcherEntry> &Entries,
+                                   common::MonotonicTime Now) {
   std::map<common::SearcherId, std::shared_ptr<ReplicaRecord>> Listed;
   this->ByService.clear();
   this->ByHomes.clear();
@@ -27,10 +30,13 @@
     if (Known != this->Searchers.end() &&
         Known->second->entry().Service == Entry.Service) {
       Record = Known->second;
+      const SearcherEntry Before = Record->entry();
       Record->update(Entry);
+      this->Cold.onChanged(*Record, Before, Now);
     } else {
       Record = std::make_shared<ReplicaRecord>(Entry);
       this->Notices.applyTo(*Record);
+      this->Cold.onListed(*Record, Now);
     }
     Record->setEvacuated(this->EvacuatedDomains.contains(Entry.FailureDomain));
     this->ByService[Entry.Service].push_back(Record);
@@ -38,8 +44,10 @@
   }
   for (const auto &[Id, Record] : this->Searchers) {
     const auto StillListed = Listed.find(Id);
-    if (StillListed == Listed.end() || StillListed->second != Record)
+    if (StillListed == Listed.end() || StillListed->second != Record) {
       Record->markRemoved();
+      this->Cold.onRemoved(*Record, Now);
+    }
   }
   this->Searchers = std::move(Listed);
 }
@@ -47,6 +55,7 @@
 void ServiceRegistry::setTable(std::shared_ptr<const RoutingTable> NewTable) {
   this->Table = std::move(NewTable);
   this->ByHomes.clear();
+  this->Cold.setTable(this->Table, this->Searchers);
   std::set<std::string> Names;
   for (const Route &Target : this->Table->routes())
     Names.insert(Target.Name);
@@ -59,6 +68,11 @@
 
 void ServiceRegistry::setFleet(const FleetShare &Share) { this->Fleet = Share; }
 
+void ServiceRegistry::setMembers(const FleetMembers &Members,
+                                 common::MonotonicTime Now) {
+  this->Cold.updateMembers(Members, this->Searchers, Now);
+}
+
 bool ServiceRegistry::recordNotice(ReplicaRecord &Record,
                                    const SearcherNotice &Notice,
                                    common::MonotonicTime Now) {
@@ -74,11 +88,18 @@
     Record.onPauseRequested(Now + *Notice.Pause);
     this->Notices.recordPause(Searcher, Now, Now + *Notice.Pause);
   }
-  if (!Notice.InvalidPause.empty())
+  if (Notice.ColdLeft)
+    this->Cold.onReported(Record, *Notice.ColdLeft, Now);
+  if (!Notice.InvalidPause.empty() || !Notice.InvalidColdLeft.empty())
     IsNew = this->Notices.recordInvalid(Searcher, Now) || IsNew;
   return IsNew;
 }
 
+void ServiceRegistry::recordFailedConnect(ReplicaRecord &Record,
+                                          common::MonotonicTime Now) {
+  this->Cold.onConnectFailed(Record, Now);
+}
+
 const std::shared_ptr<const RoutingTable> &ServiceRegistry::table() const {
   return this->Table;
 }
@@ -143,6 +164,10 @@
   return this->EvacuatedDomains;
 }
 
+const ColdSearchers &ServiceRegistry::coldSearchers() const {
+  return this->Cold;
+}
+
 const std::map<common::SearcherId, std::shared_ptr<ReplicaRecord>> &
 ServiceRegistry::allSearchers() const {
   return this->Searchers;
--- a/Source/Forwarding/ServiceRegistry.h
+++ b/Source/Forwarding/ServiceRegistry.h
@@ -3,6 +3,8 @@
 
 #include "Common/Identifiers.h"
 #include "Common/RegionMap.h"
+#include "Forwarding/ColdSearchers.h"
+#include "Forwarding/FleetMembers.h"
 #include "Forwarding/FleetShare.h"
 #include "Forwarding/ReplicaRecord.h"
 #include "Forwarding/RetryBudget.h"
@@ -30,22 +32,29 @@
 public:
   /// Regions: where the homes of a route find the failure domains.
   explicit ServiceRegistry(RetryBudgetSettings BudgetSettings,
+                           ColdStartSettings ColdStart = {},
                            common::RegionMap Regions = {});
 
   /// Replaces the set of failure domains whose searchers must get nothing, both
   /// for the searchers that are published and for those that will be.
   void setEvacuatedDomains(std::set<std::string> Domains);
-  /// Replaces the list of published searchers.
-  void setSearchers(const std::vector<SearcherEntry> &Entries);
+  /// Replaces the list of published searchers. Now: when the entries arrived,
+  /// from which the time that they stay cold is counted.
+  void setSearchers(const std::vector<SearcherEntry> &Entries,
+                    common::MonotonicTime Now = {});
   /// Replaces the routing table and drops the state of routes that it no longer
   /// contains. Retry budgets are kept.
   void setTable(std::shared_ptr<const RoutingTable> NewTable);
   void setFleet(const FleetShare &Share);
+  /// Must be called several times a second.
+  void setMembers(const FleetMembers &Members, common::MonotonicTime Now);
 
   /// Records what a searcher said of itself in a response. Returns whether the
   /// notice changes how the searcher is used or is its first invalid one.
   bool recordNotice(ReplicaRecord &Record, const SearcherNotice &Notice,
                     common::MonotonicTime Now);
+  /// No connection to the searcher could be set up.
+  void recordFailedConnect(ReplicaRecord &Record, common::MonotonicTime Now);
 
   const std::shared_ptr<const RoutingTable> &table() const;
   /// All published replicas of the service.
@@ -62,6 +71,7 @@
   WeightedRoundRobin &serviceRotation(const std::string &RouteName);
   const FleetShare &fleet() const;
   const std::set<std::string> &evacuatedDomains() const;
+  const ColdSearchers &coldSearchers() const;
   const std::map<common::SearcherId, std::shared_ptr<ReplicaRecord>> &
   allSearchers() const;
 
@@ -76,6 +86,7 @@
   std::shared_ptr<const RoutingTable> Table;
   SearcherNotices Notices;
   std::set<std::string> EvacuatedDomains;
+  ColdSearchers Cold;
   std::map<common::SearcherId, std::shared_ptr<ReplicaRecord>> Searchers;
   ReplicasByService ByService;
   /// The replicas in sets of homes, as far as they have been asked for since
--- a/Source/Gateway/UpstreamSender.cpp
+++ b/Source/Gateway/UpstreamSender.cpp
@@ -189,7 +189,9 @@
     return;
   const auto It = this->Attempts.find(Found->second);
   const forwarding::ReplicaRecord &Replica = *It->second.Replica;
-  if (!Replica.isListed() || Replica.isPaused(this->Loop.now()))
+  const common::MonotonicTime Now = this->Loop.now();
+  if (!Replica.isListed() || Replica.isPaused(Now) ||
+      Replica.coldStart().isOverdrawn(Now))
     this->withdraw(It);
   else
     this->send(It->second);
@@ -268,6 +270,8 @@
     Attempt.Replica->onFailed(Now);
   else
     Attempt.Replica->onUnreachable(Now);
+  if (Connection.wasUnreachable())
+    this->Registry.recordFailedConnect(*Attempt.Replica, Now);
   const auto Pool = this->Pools.find(Attempt.Replica->entry().Id);
   if (WasSent && !Connection.hasAnswered() && Pool != this->Pools.end())
     Pool->second.noteRejected(Now);
@@ -279,10 +283,12 @@
   this->notifyConnectionAvailable(Attempt.Replica->entry().Service);
 }
 
-// While the connection was set up, the searcher has announced that it leaves or
-// asked for a pause, its entry was removed, or its failure domain evacuated.
+// While the connection was set up, the searcher has announced that it leaves,
+// asked for a pause or become cold, its entry was removed, or its failure
+// domain evacuated.
 void UpstreamSender::withdraw(AttemptMap::iterator It) {
   const UpstreamAttempt Attempt = this->removeAttempt(It);
+  Attempt.Replica->coldStart().onWithdrawn(Attempt.StartedAt);
   this->closeConnection(Attempt);
   if (Attempt.Listener != nullptr) {
     forwarding::AttemptResult Result;
--- a/Source/Node/TrafficThread.cpp
+++ b/Source/Node/TrafficThread.cpp
@@ -22,7 +22,7 @@
                              logging::EventLog &Log)
     : Time(TimeSource), Regions(Settings.RegionByDomain), Loop(TimeSource),
       Handover(this->Loop, Log), Random(common::SeededRandom::fromSystem()),
-      Registry(Settings.RetryBudget, this->Regions),
+      Registry(Settings.RetryBudget, Settings.ColdStart, this->Regions),
       Sender(this->Loop, this->Registry, Encodings.searchers(), Log,
              {Settings.FailureDomain,
               Settings.MemoryBytes / ResponseMemoryDivisor}),
@@ -33,7 +33,7 @@
       Requests(this->Loop, this->Dependencies, this->Admission,
                Encodings.callers(), Log),
       Metrics(this->Requests, this->Sender, this->Registry, Log, TimeSource),
-      Readiness(Encodings.readinessPage(*this)),
+      ColdLog(this->Registry, Log), Readiness(Encodings.readinessPage(*this)),
       Directory(Encodings.directoryPage(*this)), MetricsPages(this->Metrics),
       ReadinessPages(*this->Readiness), DirectoryPages(*this->Directory),
       CallerListener(this->Loop, Settings.CallerAddress, this->Requests),
@@ -42,7 +42,11 @@
       DirectoryListener(this->Loop, Settings.DirectoryAddress,
                         this->DirectoryPages),
       MetricsListener(this->Loop, Settings.MetricsAddress, this->MetricsPages),
-      VmSelector(this->Random), HomeRegions(this->Regions) {}
+      VmSelector(this->Random), HomeRegions(this->Regions),
+      HasOtherSeeds(std::ranges::any_of(Settings.SeedAddresses,
+                                        [&](const common::Address &Seed) {
+                                          return Seed != Settings.PeerAddress;
+                                        })) {}
 
 TrafficThread::~TrafficThread() { this->stop(); }
 
@@ -66,7 +70,7 @@
                    EvacuatedDomains = std::move(EvacuatedDomains),
                    Table = std::move(Table), TableAcceptedAt] {
     this->Registry.setEvacuatedDomains(EvacuatedDomains);
-    this->Registry.setSearchers(Searchers);
+    this->Registry.setSearchers(Searchers, this->Loop.now());
     if (Table != nullptr && Table != this->Registry.table()) {
       this->Handover.replace(this->Registry.table(), *Table, TableAcceptedAt);
       this->Registry.setTable(Table);
@@ -80,6 +84,7 @@
   this->Loop.post([this, View = std::move(View)] {
     this->Fleet = View;
     this->updateFleetShare();
+    this->updateFleetMembers();
   });
 }
 
@@ -133,6 +138,20 @@
     this->Sender.closeIdle();
 }
 
+void TrafficThread::updateFleetMembers() {
+  forwarding::FleetMembers Members;
+  Members.Self = this->Fleet.EntryVms.front().Vm;
+  Members.Placed = this->Fleet.PlacedVms;
+  Members.Live = this->Fleet.LiveVms;
+  // A VM that has started and finds nobody may be cut off from the others.
+  const bool HasFoundPeers = Members.Live.size() > 1 || !this->HasOtherSeeds;
+  Members.IsKnown = HasFoundPeers && this->Fleet.IsComplete &&
+                    this->Registry.fleet().isKnown();
+  const common::MonotonicTime Now = this->Loop.now();
+  this->Registry.setMembers(Members, Now);
+  this->ColdLog.update(Now);
+}
+
 bool TrafficThread::isReady() const {
   return !this->Stopping && this->Registry.table() != nullptr &&
          !this->Registry.allSearchers().empty();
--- a/Source/Node/TrafficThread.h
+++ b/Source/Node/TrafficThread.h
@@ -18,6 +18,7 @@
 #include "Gateway/PageHandler.h"
 #include "Gateway/UpstreamSender.h"
 #include "Membership/StopSchedule.h"
+#include "Node/ColdSearcherLog.h"
 #include "Node/MetricsSource.h"
 #include "Node/NodeEncodings.h"
 #include "Node/NodeSettings.h"
@@ -75,6 +76,8 @@
   void awaitCallers();
   /// Updates the service registry with this VM's share of the fleet.
   void updateFleetShare();
+  /// Updates the service registry with the members of the fleet.
+  void updateFleetMembers();
 
   const common::Clock &Time;
   common::RegionMap Regions;
@@ -93,6 +96,7 @@
   forwarding::ForwardingDependencies Dependencies;
   gateway::ForwardingHandler Requests;
   MetricsSource Metrics;
+  ColdSearcherLog ColdLog;
   std::unique_ptr<gateway::PageSource> Readiness;
   std::unique_ptr<gateway::PageSource> Directory;
   gateway::PageHandler MetricsPages;
@@ -105,6 +109,8 @@
   routing::EntryVmSelector VmSelector;
   routing::HomeRegionFilter HomeRegions;
   fleet::FleetView Fleet;
+  /// Whether the settings name other VMs of the fleet.
+  bool HasOtherSeeds = false;
   bool Stopping = false;
   std::atomic<bool> HasFinishedCallers = false;
   std::thread Worker;
--- a/Source/UnitTests/platform/NodeTrafficFixture.h
+++ b/Source/UnitTests/platform/NodeTrafficFixture.h
@@ -93,7 +93,7 @@
                                std::make_shared<const forwarding::RoutingTable>(
                                    1, std::move(Routes),
                                    std::map<common::ServiceName, unsigned>(),
-                                   Limits),
+                                   Limits, this->ColdStarts),
                                this->Time.monotonicNow());
     fleet::FleetView View;
     View.EntryVms = {{this->Settings.Vm, this->Settings.CallerAddress, "z1",
@@ -145,6 +145,7 @@
   std::set<std::string> EvacuatedDomains;
   /// Homes of all routes.
   std::vector<std::string> AllowedRegions;
+  forwarding::RoutingTable::ColdStartMap ColdStarts;
   /// Shards of a further route "/extra/".
   std::vector<common::ServiceName> ExtraShards;
   std::unique_ptr<node::TrafficThread> Thread;
