--- a/Source/UnitTests/platform/NodeColdSearcherTest.cpp
+++ b/Source/UnitTests/platform/NodeColdSearcherTest.cpp
@@ -29,6 +29,27 @@
   EXPECT_TRUE(contains(Metrics, "acaciacross_cold_withheld_total 1\n"));
 }
 
+// A line for each request would hide the others.
+TEST_F(NodeColdSearcherTest, ColdAndWarmAgainAreLoggedOnce) {
+  this->addSearcher("p", [](std::size_t, const std::string &) {
+    return makeResponse("any");
+  });
+  this->Searchers.front().ColdLeft = std::chrono::milliseconds(60'000);
+  this->publishConfiguration();
+  for (int I = 0; I < 10; ++I)
+    this->sendRequest("GET /safe/x");
+  this->publishConfiguration();
+  this->Searchers.front().ColdLeft = std::chrono::milliseconds(0);
+  this->publishConfiguration();
+  // The traffic thread takes over both asynchronously.
+  for (int I = 0; I < 1'000; ++I)
+    if (this->Log.count(common::LogEvent::SearcherWarm) == 0)
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  EXPECT_TRUE(contains(this->metrics(), "acaciacross_searchers_cold 0\n"));
+  EXPECT_EQ(this->Log.count(common::LogEvent::SearcherCold), 1U);
+  EXPECT_EQ(this->Log.count(common::LogEvent::SearcherWarm), 1U);
+}
+
 // A searcher may turn cold at any moment; the store tells it seconds later.
 TEST_F(NodeColdSearcherTest, AnswerTellsThatItsSearcherIsCold) {
   Upstream &Cold = this->addSearcher("p", [](std::size_t, const std::string &) {
