--- a/Source/Common/StorePosition.h
+++ b/Source/Common/StorePosition.h
@@ -16,7 +16,12 @@
   constexpr StorePosition(std::uint64_t Era, std::uint64_t Revision)
       : Era(Era), Revision(Revision) {}
 
-  auto operator<=>(const StorePosition &) const = default;
+  bool operator==(const StorePosition &) const = default;
+  constexpr std::strong_ordering operator<=>(const StorePosition &Other) const {
+    if (this->Era != Other.Era)
+      return this->Era <=> Other.Era;
+    return this->Revision <=> Other.Revision;
+  }
 
   std::uint64_t Era = 0;
   std::uint64_t Revision = 0;
