--- a/Source/UnitTests/Discovery/StoreEraTest.cpp
+++ b/Source/UnitTests/Discovery/StoreEraTest.cpp
@@ -75,6 +75,7 @@
   EXPECT_EQ(Reply.Position, StorePosition(2, 31));
   PublishedState Starting{this->Decoder, this->Time, this->Log};
   Starting.apply(Reply);
+  ASSERT_NE(Starting.table(), nullptr);
   EXPECT_EQ(Starting.table()->version(), 4U);
 }
 
