Forwarding: slowness that searchers report of their machines

The fourth figure of a searcher's load was skipped, so a machine that turned slow got work until its replies were late. It is now decoded (a whole percentage from 1 to 100,000; anything else is none and leaves the other figures) and weighs into the expected delay for as long as the reported load does (0.1 s). The measured latency ratio is also kept divided by the figures that came with its replies; while a report is fresh only that part is multiplied by it, so slowness counts once. Before, a report of five times the usual time left the expected delay as it was.

--- a/Source/Forwarding/ReplicaRecord.cpp
+++ b/Source/Forwarding/ReplicaRecord.cpp
@@ -57,6 +57,7 @@
   if (!IsRestarted)
     return;
   this->LatencyRatio = 1.0;
+  this->UnexplainedRatio = 1.0;
   this->FailureRate = 0.0;
   this->UnreachableUntil = {};
   this->NextBackOff = {};
@@ -93,6 +94,13 @@
   const double Before = this->latencyRatio(Now);
   this->LatencyRatio =
       Before + LatencyRatioWeight * (std::min(Ratio, MaxLatencyRatio) - Before);
+  const double UnexplainedBefore =
+      this->decayedRatio(this->UnexplainedRatio, Now);
+  const double Unexplained = Ratio / this->slowness(Now).value_or(1.0);
+  this->UnexplainedRatio =
+      UnexplainedBefore +
+      LatencyRatioWeight *
+          (std::min(Unexplained, MaxLatencyRatio) - UnexplainedBefore);
   this->LatencyRatioAt = Now;
   this->FailureRate = this->failureRate(Now) * (1.0 - FailureRateWeight);
   this->FailureRateAt = Now;
@@ -164,10 +172,31 @@
 }
 
 double ReplicaRecord::latencyRatio(common::MonotonicTime Now) const {
+  return this->decayedRatio(this->LatencyRatio, Now);
+}
+
+std::optional<double> ReplicaRecord::slowness(common::MonotonicTime Now) const {
+  return Now - this->LoadAt <= LoadDecayTime ? this->Load.Slowness
+                                             : std::nullopt;
+}
+
+double ReplicaRecord::expectedRatio(common::MonotonicTime Now) const {
+  const double Measured = this->latencyRatio(Now);
+  const auto Reported = this->slowness(Now);
+  if (!Reported)
+    return Measured;
+  const double FromReport =
+      *Reported * this->decayedRatio(this->UnexplainedRatio, Now);
+  return Measured + (FromReport - Measured) *
+                        decayFactor(this->LoadAt, Now, LoadDecayTime);
+}
+
+double ReplicaRecord::decayedRatio(double Ratio,
+                                   common::MonotonicTime Now) const {
   const double Baseline =
       this->Entry.ColdLeft.count() > 0 ? ColdLatencyRatio : 1.0;
-  return Baseline + (this->LatencyRatio - Baseline) *
-                        decayFactor(this->LatencyRatioAt, Now, DecayTime);
+  return Baseline +
+         (Ratio - Baseline) * decayFactor(this->LatencyRatioAt, Now, DecayTime);
 }
 
 double ReplicaRecord::failureRate(common::MonotonicTime Now) const {
@@ -194,7 +223,7 @@
   const double OtherLoad = std::max(0.0, ReportedRequests - OwnAttempts) /
                            Slots *
                            decayFactor(this->LoadAt, Now, LoadDecayTime);
-  double Factor = this->latencyRatio(Now) * (1.0 + OwnAttempts + OtherLoad) *
+  double Factor = this->expectedRatio(Now) * (1.0 + OwnAttempts + OtherLoad) *
                   (1.0 + DelayPerFailureRate * this->failureRate(Now));
   if (Now < this->BusyUntil)
     Factor *= 4.0;
--- a/Source/Forwarding/ReplicaRecord.h
+++ b/Source/Forwarding/ReplicaRecord.h
@@ -68,17 +68,28 @@
                 std::chrono::nanoseconds Typical) const;
   /// Moving average of latency divided by typical latency; 1 is typical.
   double latencyRatio(common::MonotonicTime Now) const;
+  /// How long work takes on the searcher's machine, as it said last; 1 is as
+  /// usual. Empty without a recent report.
+  std::optional<double> slowness(common::MonotonicTime Now) const;
   /// Moving average of the share of failed attempts, 0 to 1.
   double failureRate(common::MonotonicTime Now) const;
   std::size_t running() const;
 
 private:
+  /// Latency ratio of a new attempt: the measured one, or as far as the report
+  /// is fresh, the reported slowness and the measured ratio without it.
+  double expectedRatio(common::MonotonicTime Now) const;
+  /// A moving average as of its last sample, decayed since.
+  double decayedRatio(double Ratio, common::MonotonicTime Now) const;
+
   SearcherEntry Entry;
   bool Removed = false;
   bool Leaving = false;
   common::MonotonicTime PausedUntil;
   std::multiset<common::MonotonicTime> Outstanding;
   double LatencyRatio = 1.0;
+  /// The same, of latencies divided by the slowness reported with them.
+  double UnexplainedRatio = 1.0;
   common::MonotonicTime LatencyRatioAt;
   double FailureRate = 0.0;
   common::MonotonicTime FailureRateAt;
--- a/Source/UnitTests/Forwarding/ReplicaRecordTest.cpp
+++ b/Source/UnitTests/Forwarding/ReplicaRecordTest.cpp
@@ -116,4 +116,29 @@
   EXPECT_FALSE(this->Replica.isListed());
 }
 
+// A machine that turned slow since the last measured replies must not get more
+// work until its replies are late.
+TEST_F(ReplicaRecordTest, ReportedSlownessRaisesTheExpectedDelayWhileFresh) {
+  const double Usual = this->expectedMs(this->Replica);
+  this->Replica.onLoadReported(this->now(), {0, 0, 4, 5.0});
+  EXPECT_NEAR(this->expectedMs(this->Replica), 5.0 * Usual, 0.1 * Usual);
+  this->Time.advance(milliseconds(150));
+  EXPECT_NEAR(this->expectedMs(this->Replica), Usual, 0.01 * Usual);
+}
+
+// Slowness that shows in the latency and in the report is one and the same.
+TEST_F(ReplicaRecordTest, MeasuredAndReportedSlownessCountOnce) {
+  for (int I = 0; I < 20; ++I) {
+    this->Replica.onLoadReported(this->now(), {0, 0, 4, 5.0});
+    this->Replica.onAnswered(this->now(), milliseconds(50), milliseconds(10));
+  }
+  EXPECT_NEAR(this->expectedMs(this->Replica), 50.0, 1.0);
+  // The machine is as fast as usual again: no reply has shown it yet.
+  this->Replica.onLoadReported(this->now(), {0, 0, 4, 1.0});
+  EXPECT_NEAR(this->expectedMs(this->Replica), 10.0, 1.0);
+  this->Time.advance(milliseconds(150));
+  EXPECT_GT(this->expectedMs(this->Replica), 40.0)
+      << "without a fresh report the measured ratio holds";
+}
+
 } // namespace acaciacross::forwarding
--- a/Source/UnitTests/platform/CodecTest.cpp
+++ b/Source/UnitTests/platform/CodecTest.cpp
@@ -129,6 +129,23 @@
                   .Load);
 }
 
+// An odd fourth figure must not count as a fast or stopped machine, nor take
+// away the other three.
+TEST_F(CodecTest, LoadHeaderGivesTheSlownessOfTheMachine) {
+  const auto LoadOf = [&](const std::string &Text) {
+    return this->Searchers.decode(makeResponse(200, {{"X-Server-Load", Text}}))
+        .Load;
+  };
+  EXPECT_DOUBLE_EQ(LoadOf("1,0,4,350")->Slowness.value(), 3.5);
+  EXPECT_DOUBLE_EQ(LoadOf("1,0,4,100,7")->Slowness.value(), 1.0);
+  for (const char *Text : {"1,0,4", "1,0,4,", "1,0,4,0", "1,0,4,-5",
+                           "1,0,4,nan", "1,0,4,1e3", "1,0,4,999999999"}) {
+    ASSERT_TRUE(LoadOf(Text)) << Text;
+    EXPECT_FALSE(LoadOf(Text)->Slowness) << Text;
+    EXPECT_EQ(LoadOf(Text)->Slots, 4U) << Text;
+  }
+}
+
 // A malformed number must not become a deadline that has passed or overflows.
 TEST_F(CodecTest, InvalidCallerDeadlineIsIgnored) {
   for (const char *Text : {"", "-5", "abc", "5x", "99999999999999999999"}) {
