Forwarding: parts that come too late for an answer are not sent

In an overload, parts of a query wait for connections until shortly before the answer is given without them; their attempts then took connections and searchers of other queries for nothing. A waiting part is not sent when even the shortest latency of its route would bring it after the time of a partial answer and the parts that are answered, or under way for no longer than usual, suffice (WaitingParts). When one of those fails or takes longer, it is sent after all. An attempt that waits for a connection is given up when it can't be answered before the deadline any more: a request that no searcher got is refused as not run, a query that lacks the part fails with 504.

Dropping the parts for good was ruled out: a part under way may be lost, and the query would fail without need.

--- a/Source/Forwarding/Execution.cpp
+++ b/Source/Forwarding/Execution.cpp
@@ -83,10 +83,28 @@
 void Execution::onConnectionAvailable(const common::ServiceName &Service) {
   if (this->Finished)
     return;
+  if (!this->areWaitingPartsNeeded()) {
+    this->Withheld.push_back(Service);
+    this->evaluate();
+    return;
+  }
+  this->resume(Service);
+  this->evaluate();
+}
+
+bool Execution::areWaitingPartsNeeded() const { return true; }
+
+void Execution::resume(const common::ServiceName &Service) {
   for (SubRequest &Sub : this->SubRequests)
     if (Sub.service() == Service)
       Sub.onConnectionAvailable();
-  this->evaluate();
+}
+
+void Execution::resumeWithheld() {
+  if (this->Withheld.empty() || !this->areWaitingPartsNeeded())
+    return;
+  for (const common::ServiceName &Service : std::exchange(this->Withheld, {}))
+    this->resume(Service);
 }
 
 void Execution::addSubRequest(const common::ServiceName &Service,
@@ -123,12 +141,15 @@
     return Result;
   }
   Result.Kind = AnswerKind::Failed;
+  const bool IsOutOfTime =
+      IsDeadlinePassed ||
+      std::ranges::any_of(this->SubRequests, &SubRequest::hasGivenUp);
   if (IsInterrupted)
     Result.Code = common::ResultCode::Interrupted;
   else
-    Result.Code = IsDeadlinePassed ? common::ResultCode::DeadlinePassed
-                                   : common::ResultCode::AttemptLost;
-  Result.Message.Status = IsDeadlinePassed ? GatewayTimeout : BadGateway;
+    Result.Code = IsOutOfTime ? common::ResultCode::DeadlinePassed
+                              : common::ResultCode::AttemptLost;
+  Result.Message.Status = IsOutOfTime ? GatewayTimeout : BadGateway;
   return Result;
 }
 
@@ -150,6 +171,7 @@
 void Execution::evaluate() {
   if (this->Finished)
     return;
+  this->resumeWithheld();
   const bool IsDeadlinePassed = this->now() >= this->endsAt();
   if (auto Result = this->decide(IsDeadlinePassed))
     this->finish(std::move(*Result));
--- a/Source/Forwarding/Execution.h
+++ b/Source/Forwarding/Execution.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace acaciacross::forwarding {
 
@@ -52,6 +53,9 @@
   /// An additional time at which decide must be called; empty when there is
   /// none.
   virtual std::optional<common::MonotonicTime> nextDecisionAt() const = 0;
+  /// Whether parts that wait for a connection are still to be sent. Those that
+  /// were not sent are sent once this is true again.
+  virtual bool areWaitingPartsNeeded() const;
   /// The answer for a request without a usable response.
   Answer failure(bool IsDeadlinePassed) const;
 
@@ -60,6 +64,9 @@
   std::chrono::milliseconds untilUsable() const;
   /// The deadline of the request, or an earlier time that endBy has set.
   common::MonotonicTime endsAt() const;
+  /// Sends the parts to the service that wait.
+  void resume(const common::ServiceName &Service);
+  void resumeWithheld();
   void evaluate();
   void finish(Answer Result);
 
@@ -67,6 +74,8 @@
   std::shared_ptr<const ForwardRequest> Request;
   AnswerSink &Sink;
   std::deque<SubRequest> SubRequests;
+  /// The services of parts that were not needed when a connection was free.
+  std::vector<common::ServiceName> Withheld;
   common::MonotonicTime EndLimit = common::MonotonicTime::max();
   bool Finished = false;
 };
--- a/Source/Forwarding/GatherExecution.cpp
+++ b/Source/Forwarding/GatherExecution.cpp
@@ -18,7 +18,9 @@
                                  AnswerSink &Sink)
     : Execution(Dependencies, std::move(Request), Sink),
       PartialAllowedFrom(
-          Dependencies.PartialAnswers.partialAllowedFrom(this->request())) {
+          Dependencies.PartialAnswers.partialAllowedFrom(this->request())),
+      ShortestLatency(
+          Dependencies.Services.latency(*this->request().Target).Unloaded) {
   for (const common::ServiceName &Shard :
        this->request().Target->Gather->Shards)
     this->addSubRequest(Shard, true);
@@ -35,13 +37,15 @@
 }
 
 std::optional<Answer> GatherExecution::decide(bool IsDeadlinePassed) {
-  std::size_t AnsweredCount = 0;
-  std::size_t OpenCount = 0;
-  for (const SubRequest &Sub : this->subRequests()) {
-    AnsweredCount += Sub.state() == SubRequestState::Answered ? 1 : 0;
-    OpenCount += Sub.state() == SubRequestState::Open ? 1 : 0;
-  }
-  const std::size_t MinShards = this->request().Target->Gather->minShards();
+  const WaitingParts Parts = this->countParts();
+  const std::size_t AnsweredCount = Parts.AnsweredCount;
+  const std::size_t MinShards = Parts.MinCount;
+  const bool CountsWaiting = Parts.areNeeded(this->now());
+  const auto OpenCount = static_cast<std::size_t>(
+      std::ranges::count_if(this->subRequests(), [&](const SubRequest &Sub) {
+        return Sub.state() == SubRequestState::Open &&
+               (CountsWaiting || !Sub.isWaiting());
+      }));
   // When too many shards are lost, the answer fails whatever the remaining ones
   // return.
   if (AnsweredCount + OpenCount < MinShards)
@@ -62,6 +66,22 @@
              : std::nullopt;
 }
 
+bool GatherExecution::areWaitingPartsNeeded() const {
+  return this->countParts().areNeeded(this->now());
+}
+
+WaitingParts GatherExecution::countParts() const {
+  WaitingParts Parts;
+  for (const SubRequest &Sub : this->subRequests()) {
+    Parts.AnsweredCount += Sub.state() == SubRequestState::Answered ? 1 : 0;
+    Parts.ExpectedCount += Sub.isAnswerExpected() ? 1 : 0;
+  }
+  Parts.MinCount = this->request().Target->Gather->minShards();
+  Parts.PartialAllowedFrom = this->PartialAllowedFrom;
+  Parts.ShortestLatency = this->ShortestLatency;
+  return Parts;
+}
+
 Answer GatherExecution::merge() const {
   Answer Merged;
   Merged.Kind = AnswerKind::Gathered;
--- a/Source/Forwarding/GatherExecution.h
+++ b/Source/Forwarding/GatherExecution.h
@@ -2,6 +2,7 @@
 #define ACACIACROSS_FORWARDING_GATHEREXECUTION_H
 
 #include "Forwarding/Execution.h"
+#include "Forwarding/WaitingParts.h"
 
 namespace acaciacross::forwarding {
 
@@ -19,10 +20,13 @@
 private:
   std::optional<Answer> decide(bool IsDeadlinePassed) override;
   std::optional<common::MonotonicTime> nextDecisionAt() const override;
+  bool areWaitingPartsNeeded() const override;
 
+  WaitingParts countParts() const;
   Answer merge() const;
 
   common::MonotonicTime PartialAllowedFrom;
+  std::chrono::nanoseconds ShortestLatency;
 };
 
 } // namespace acaciacross::forwarding
--- a/Source/Forwarding/SubRequest.cpp
+++ b/Source/Forwarding/SubRequest.cpp
@@ -66,7 +66,11 @@
 }
 
 void SubRequest::onConnectionAvailable() {
-  if (this->State == SubRequestState::Open && this->OpenAttempts.empty())
+  if (!this->isWaiting())
+    return;
+  if (this->isTooLate())
+    this->giveUp();
+  else
     this->sendNext();
 }
 
@@ -74,6 +78,10 @@
   const common::MonotonicTime Now = this->Dependencies.Time.monotonicNow();
   if (this->HedgeAt && Now >= *this->HedgeAt)
     this->startHedge(Now);
+  if (this->isWaiting() && this->isTooLate()) {
+    this->giveUp();
+    return;
+  }
   if (!this->ResumeAt || Now < *this->ResumeAt)
     return;
   this->ResumeAt.reset();
@@ -97,9 +105,15 @@
 std::optional<common::MonotonicTime> SubRequest::nextDue() const {
   if (this->State != SubRequestState::Open)
     return std::nullopt;
-  if (!this->HedgeAt || !this->ResumeAt)
-    return this->HedgeAt ? this->HedgeAt : this->ResumeAt;
-  return std::min(*this->HedgeAt, *this->ResumeAt);
+  std::optional<common::MonotonicTime> Due;
+  for (const auto &At : {this->HedgeAt, this->ResumeAt})
+    if (At)
+      Due = std::min(Due.value_or(*At), *At);
+  // Giving up is due after the time, not at it.
+  if (this->GiveUpAt && this->isWaiting())
+    Due = std::min(Due.value_or(common::MonotonicTime::max()),
+                   *this->GiveUpAt + common::MonotonicTime::duration(1));
+  return Due;
 }
 
 void SubRequest::abandon(AbandonMode Mode) {
@@ -116,6 +130,16 @@
 
 SubRequestState SubRequest::state() const { return this->State; }
 
+bool SubRequest::isWaiting() const {
+  return this->State == SubRequestState::Open && this->OpenAttempts.empty();
+}
+
+bool SubRequest::isAnswerExpected() const {
+  return this->State == SubRequestState::Open && !this->OpenAttempts.empty() &&
+         this->HedgeAt &&
+         this->Dependencies.Time.monotonicNow() < *this->HedgeAt;
+}
+
 const std::optional<AttemptResult> &SubRequest::result() const {
   return this->Result;
 }
@@ -124,6 +148,8 @@
   return this->MayHaveRun || !this->OpenAttempts.empty();
 }
 
+bool SubRequest::hasGivenUp() const { return this->GaveUp; }
+
 const std::vector<AttemptSummary> &SubRequest::endedAttempts() const {
   return this->EndedAttempts;
 }
@@ -150,7 +176,7 @@
   const std::shared_ptr<ReplicaRecord> Replica = this->chooseReplica();
   if (Replica == nullptr) {
     if (this->canWaitForConnection()) {
-      this->Dependencies.Sender.awaitConnection(this->Service, this->Listener);
+      this->awaitConnection();
       return;
     }
     this->ResumeAt = this->nextPauseEnd();
@@ -192,6 +218,26 @@
       });
 }
 
+bool SubRequest::isTooLate() const {
+  return this->GiveUpAt &&
+         this->Dependencies.Time.monotonicNow() > *this->GiveUpAt;
+}
+
+// In an overload, attempts that wait for long would still be sent shortly
+// before the deadline, and take the place of those that can be answered.
+void SubRequest::giveUp() {
+  this->GaveUp = true;
+  this->State = SubRequestState::Exhausted;
+}
+
+void SubRequest::awaitConnection() {
+  const Route &Target = *this->Request->Target;
+  this->GiveUpAt = this->Request->Deadline -
+                   std::chrono::duration_cast<common::MonotonicTime::duration>(
+                       this->Statistics->unloadedLatency(Target.LatencyTarget));
+  this->Dependencies.Sender.awaitConnection(this->Service, this->Listener);
+}
+
 std::optional<common::MonotonicTime> SubRequest::nextPauseEnd() const {
   const common::MonotonicTime Now = this->Dependencies.Time.monotonicNow();
   const common::MonotonicTime LatestStart = this->Request->latestStart(
--- a/Source/Forwarding/SubRequest.h
+++ b/Source/Forwarding/SubRequest.h
@@ -27,7 +27,8 @@
   void onEnded(AttemptNumber Attempt, AttemptResult Result);
   void onConnectionAvailable();
   /// Starts the hedge if it is due, and an attempt that waited for the end of
-  /// a searcher's pause.
+  /// a searcher's pause. Gives up waiting when no attempt can be answered
+  /// before the deadline any more.
   void tick();
   /// Next time at which tick must be called; empty when there is none.
   std::optional<common::MonotonicTime> nextDue() const;
@@ -35,10 +36,17 @@
 
   const common::ServiceName &service() const;
   SubRequestState state() const;
+  /// Whether the sub-request is open without an attempt at a searcher.
+  bool isWaiting() const;
+  /// Whether an attempt is under way that is not due for a hedge.
+  bool isAnswerExpected() const;
   /// The usable response, or the last unusable one.
   const std::optional<AttemptResult> &result() const;
   /// Whether a searcher may have run the request.
   bool mayHaveRun() const;
+  /// Whether the sub-request ended because its wait for a connection left too
+  /// little time.
+  bool hasGivenUp() const;
   const std::vector<AttemptSummary> &endedAttempts() const;
 
 private:
@@ -61,6 +69,10 @@
   /// Whether a reachable searcher that was not tried yet only lacks a free
   /// connection.
   bool canWaitForConnection() const;
+  void awaitConnection();
+  /// Whether an attempt that waits can't be answered before the deadline.
+  bool isTooLate() const;
+  void giveUp();
   void startAttempt(const std::shared_ptr<ReplicaRecord> &Replica);
   void recordAttempt(const OpenAttempt &Attempt, AttemptEnd End, int Status,
                      bool IsAbandoned);
@@ -82,6 +94,10 @@
   std::optional<common::MonotonicTime> HedgeAt;
   /// Set while all searchers that could be asked have requested a pause.
   std::optional<common::MonotonicTime> ResumeAt;
+  /// The latest time at which an attempt that waits for a connection can start
+  /// and still be answered before the deadline.
+  std::optional<common::MonotonicTime> GiveUpAt;
+  bool GaveUp = false;
   std::optional<AttemptResult> Result;
   std::vector<AttemptSummary> EndedAttempts;
 };
