Forwarding, Gateway: connections by urgency, in turns between callers

Attempts waited for a connection in the order in which they came: in a burst all of them were late, the priority of a route changed nothing, and a caller that repeats without pause got as much as it asked for. UrgencyOrder now decides: attempts that can still be in time by priority, callers of one priority in turns (by the remote address of the connection), late attempts behind them unless their priority has been served less often, and first a priority that is served less than half as often as all. Equal attempts keep their order of arrival.

A ring of callers was ruled out: each shard would serve another query first. A listener that awaits one service twice now waits once; ending a wait looks only at the services that the listener waits for, before at all. The number of waits and their time are metrics by priority.

--- a/Source/Common/Identifiers.h
+++ b/Source/Common/Identifiers.h
@@ -20,6 +20,10 @@
 /// The identifier that the caller gave to its request; the answer repeats it.
 using RequestId = StrongId<struct RequestTag, std::string>;
 
+/// The remote IP address of the connection that a request came on; empty when
+/// unknown.
+using CallerHost = StrongId<struct CallerHostTag, std::string>;
+
 /// A searcher, as named in the published service document.
 using SearcherId = StrongId<struct SearcherTag, std::string>;
 
--- a/Source/Forwarding/AttemptSender.h
+++ b/Source/Forwarding/AttemptSender.h
@@ -6,6 +6,7 @@
 #include "Forwarding/ForwardRequest.h"
 #include "Forwarding/ReplicaRecord.h"
 #include "Forwarding/RouteStatistics.h"
+#include "Forwarding/Urgency.h"
 
 #include <chrono>
 #include <memory>
@@ -34,7 +35,8 @@
   /// Notifies the listener once when a searcher of the service can take an
   /// attempt.
   virtual void awaitConnection(const common::ServiceName &Service,
-                               AttemptListener &Listener) = 0;
+                               AttemptListener &Listener,
+                               const Urgency &Place) = 0;
   /// Number of listeners that wait for a searcher of the service.
   virtual std::size_t
   waitingCount(const common::ServiceName &Service) const = 0;
--- a/Source/Forwarding/ForwardRequest.h
+++ b/Source/Forwarding/ForwardRequest.h
@@ -16,6 +16,7 @@
 /// A request of a caller and the route that it takes.
 struct ForwardRequest {
   common::RequestId Id;
+  common::CallerHost Caller;
   http::Request Message;
   /// How long the caller had waited when it sent the request; empty when
   /// unknown.
--- a/Source/Forwarding/SubRequest.cpp
+++ b/Source/Forwarding/SubRequest.cpp
@@ -235,7 +235,12 @@
   this->GiveUpAt = this->Request->Deadline -
                    std::chrono::duration_cast<common::MonotonicTime::duration>(
                        this->Statistics->unloadedLatency(Target.LatencyTarget));
-  this->Dependencies.Sender.awaitConnection(this->Service, this->Listener);
+  this->Dependencies.Sender.awaitConnection(
+      this->Service, this->Listener,
+      {Target.Priority,
+       this->Request->latestStart(
+           this->Statistics->typical(Target.LatencyTarget)),
+       this->Request->Caller});
 }
 
 std::optional<common::MonotonicTime> SubRequest::nextPauseEnd() const {
--- a/Source/Gateway/ConnectionWaiters.cpp
+++ b/Source/Gateway/ConnectionWaiters.cpp
@@ -1,34 +1,66 @@
 #include "Gateway/ConnectionWaiters.h"
 
+#include <chrono>
+
 namespace acaciacross::gateway {
 
 void ConnectionWaiters::add(const common::ServiceName &Service,
-                            forwarding::AttemptListener &Listener) {
-  this->ListenersByService[Service].push_back(&Listener);
+                            forwarding::AttemptListener &Listener,
+                            const forwarding::Urgency &Place,
+                            common::MonotonicTime Now) {
+  this->OrderByService[Service].add(Listener, Place);
+  this->WaitsByListener[&Listener].try_emplace(Service,
+                                               Wait{Now, Place.Priority});
 }
 
 std::size_t ConnectionWaiters::count(const common::ServiceName &Service) const {
-  const auto Found = this->ListenersByService.find(Service);
-  return Found == this->ListenersByService.end() ? 0 : Found->second.size();
+  const auto Found = this->OrderByService.find(Service);
+  return Found == this->OrderByService.end() ? 0 : Found->second.size();
 }
 
 forwarding::AttemptListener *
-ConnectionWaiters::takeFirst(const common::ServiceName &Service) {
-  const auto Found = this->ListenersByService.find(Service);
-  if (Found == this->ListenersByService.end())
+ConnectionWaiters::takeNext(const common::ServiceName &Service,
+                            common::MonotonicTime Now) {
+  const auto Found = this->OrderByService.find(Service);
+  if (Found == this->OrderByService.end())
     return nullptr;
-  forwarding::AttemptListener *First = Found->second.front();
-  Found->second.pop_front();
-  if (Found->second.empty())
-    this->ListenersByService.erase(Found);
-  return First;
+  forwarding::AttemptListener *Next = Found->second.takeNext(Now);
+  if (Found->second.size() == 0)
+    this->OrderByService.erase(Found);
+  const auto Waits = this->WaitsByListener.find(Next);
+  const auto Ended = Waits->second.find(Service);
+  this->recordEnd(Ended->second, Now);
+  Waits->second.erase(Ended);
+  if (Waits->second.empty())
+    this->WaitsByListener.erase(Waits);
+  return Next;
+}
+
+void ConnectionWaiters::remove(forwarding::AttemptListener &Listener,
+                               common::MonotonicTime Now) {
+  const auto Waits = this->WaitsByListener.find(&Listener);
+  if (Waits == this->WaitsByListener.end())
+    return;
+  for (const auto &[Service, Ended] : Waits->second) {
+    this->recordEnd(Ended, Now);
+    const auto Found = this->OrderByService.find(Service);
+    Found->second.remove(Listener);
+    if (Found->second.size() == 0)
+      this->OrderByService.erase(Found);
+  }
+  this->WaitsByListener.erase(Waits);
+}
+
+void ConnectionWaiters::write(std::ostream &Page) const {
+  this->WaitCounts.write(Page, "acaciacross_connection_waits_total");
+  this->WaitSeconds.write(Page, "acaciacross_connection_wait_seconds_total");
 }
 
-void ConnectionWaiters::remove(forwarding::AttemptListener &Listener) {
-  for (auto &[Service, Queue] : this->ListenersByService)
-    std::erase(Queue, &Listener);
-  std::erase_if(this->ListenersByService,
-                [](const auto &Entry) { return Entry.second.empty(); });
+void ConnectionWaiters::recordEnd(const Wait &Ended,
+                                  common::MonotonicTime Now) {
+  const std::chrono::duration<double> Waited = Now - Ended.Since;
+  this->WaitCounts.add(Ended.Priority);
+  this->WaitSeconds.add(Ended.Priority, Waited.count());
 }
 
 } // namespace acaciacross::gateway
--- a/Source/Gateway/ForwardingHandler.cpp
+++ b/Source/Gateway/ForwardingHandler.cpp
@@ -117,6 +117,7 @@
   }
   const auto Request = std::make_shared<forwarding::ForwardRequest>();
   Request->Id = Metadata.Id;
+  Request->Caller = Connection->caller();
   Request->Message = std::move(Message);
   if (Metadata.TimeLeft)
     Request->WaitedBefore =
--- a/Source/Gateway/ServerConnection.cpp
+++ b/Source/Gateway/ServerConnection.cpp
@@ -35,7 +35,8 @@
 
 ServerConnection::ServerConnection(net::EventLoop &Loop, net::Descriptor Socket,
                                    RequestHandler &Handler)
-    : Loop(Loop), Socket(std::move(Socket)), Handler(Handler),
+    : Loop(Loop), Socket(std::move(Socket)),
+      Caller(net::remoteHost(this->Socket)), Handler(Handler),
       Parser(Handler.maxHeadBytes(), Handler.maxBodyBytes()),
       WaitingSince(Loop.now()) {}
 
@@ -98,6 +99,10 @@
 
 bool ServerConnection::isClosed() const { return !this->Socket.isOpen(); }
 
+const common::CallerHost &ServerConnection::caller() const {
+  return this->Caller;
+}
+
 common::MonotonicTime ServerConnection::requestCompletedAt() const {
   return this->RequestCompletedAt;
 }
--- a/Source/Gateway/ServerConnection.h
+++ b/Source/Gateway/ServerConnection.h
@@ -1,6 +1,7 @@
 #ifndef ACACIACROSS_GATEWAY_SERVERCONNECTION_H
 #define ACACIACROSS_GATEWAY_SERVERCONNECTION_H
 
+#include "Common/Identifiers.h"
 #include "Gateway/RequestHandler.h"
 #include "Http/RequestParser.h"
 #include "Http/Response.h"
@@ -32,6 +33,7 @@
   void close();
 
   bool isClosed() const;
+  const common::CallerHost &caller() const;
   /// When the current request had been received completely.
   common::MonotonicTime requestCompletedAt() const;
 
@@ -51,6 +53,7 @@
 
   net::EventLoop &Loop;
   net::Descriptor Socket;
+  common::CallerHost Caller;
   RequestHandler &Handler;
   http::RequestParser Parser;
   std::string Input;
--- a/Source/Gateway/UpstreamSender.cpp
+++ b/Source/Gateway/UpstreamSender.cpp
@@ -103,8 +103,9 @@
 }
 
 void UpstreamSender::awaitConnection(const common::ServiceName &Service,
-                                     forwarding::AttemptListener &Listener) {
-  this->Waiters.add(Service, Listener);
+                                     forwarding::AttemptListener &Listener,
+                                     const forwarding::Urgency &Place) {
+  this->Waiters.add(Service, Listener, Place, this->Loop.now());
 }
 
 std::size_t
@@ -113,7 +114,7 @@
 }
 
 void UpstreamSender::cancelAwait(forwarding::AttemptListener &Listener) {
-  this->Waiters.remove(Listener);
+  this->Waiters.remove(Listener, this->Loop.now());
 }
 
 void UpstreamSender::closeUnlisted() {
@@ -151,6 +152,10 @@
   return this->Recorder.domainTraffic();
 }
 
+const ConnectionWaiters &UpstreamSender::waiters() const {
+  return this->Waiters;
+}
+
 std::size_t UpstreamSender::connections() const {
   std::size_t Total = 0;
   for (const auto &[Id, Pool] : this->Pools)
@@ -353,11 +358,11 @@
 // because no searcher of the service may be asked any more. Nothing would
 // notify those behind it.
 void UpstreamSender::notifyWaiting(const common::ServiceName &Service) {
-  while (forwarding::AttemptListener *First =
-             this->Waiters.takeFirst(Service)) {
+  while (forwarding::AttemptListener *Next =
+             this->Waiters.takeNext(Service, this->Loop.now())) {
     const std::size_t LeftCount = this->Waiters.count(Service);
     const std::uint64_t NumberBefore = this->NextNumber;
-    First->onConnectionAvailable(Service);
+    Next->onConnectionAvailable(Service);
     if (this->NextNumber != NumberBefore ||
         this->Waiters.count(Service) > LeftCount)
       return;
--- a/Source/Gateway/UpstreamSender.h
+++ b/Source/Gateway/UpstreamSender.h
@@ -45,7 +45,8 @@
   void abandon(forwarding::AttemptNumber Attempt,
                forwarding::AbandonMode Mode) override;
   void awaitConnection(const common::ServiceName &Service,
-                       forwarding::AttemptListener &Listener) override;
+                       forwarding::AttemptListener &Listener,
+                       const forwarding::Urgency &Place) override;
   std::size_t waitingCount(const common::ServiceName &Service) const override;
   void cancelAwait(forwarding::AttemptListener &Listener) override;
 
@@ -58,6 +59,7 @@
   std::uint64_t openedConnectionCount() const;
   const ResponseBufferBudget &responseBuffers() const;
   const DomainTraffic &domainTraffic() const;
+  const ConnectionWaiters &waiters() const;
   /// Number of connections held now.
   std::size_t connections() const;
 
--- a/Source/Net/Sockets.cpp
+++ b/Source/Net/Sockets.cpp
@@ -9,6 +9,7 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <array>
 #include <cerrno>
 #include <chrono>
 
@@ -90,6 +91,17 @@
   return Socket;
 }
 
+std::string remoteHost(const Descriptor &Socket) {
+  sockaddr_in Peer{};
+  socklen_t Size = sizeof Peer;
+  auto *RawAddress = reinterpret_cast<sockaddr *>(&Peer);
+  std::array<char, INET_ADDRSTRLEN> Text{};
+  if (::getpeername(Socket.get(), RawAddress, &Size) != 0 ||
+      ::inet_ntop(AF_INET, &Peer.sin_addr, Text.data(), Text.size()) == nullptr)
+    return {};
+  return Text.data();
+}
+
 std::size_t unacknowledgedBytes(const Descriptor &Socket) {
   int Count = 0;
   if (::ioctl(Socket.get(), SIOCOUTQ, &Count) != 0)
--- a/Source/Net/Sockets.h
+++ b/Source/Net/Sockets.h
@@ -5,6 +5,7 @@
 #include "Net/Descriptor.h"
 
 #include <cstddef>
+#include <string>
 
 namespace acaciacross::net {
 
@@ -19,6 +20,9 @@
 /// not open when there is none.
 Descriptor acceptFrom(const Descriptor &Listening);
 
+/// The IP address of the peer; empty when the socket is not connected.
+std::string remoteHost(const Descriptor &Socket);
+
 /// Number of sent bytes that the peer has not acknowledged; 0 when unknown.
 std::size_t unacknowledgedBytes(const Descriptor &Socket);
 
--- a/Source/Node/MetricsSource.cpp
+++ b/Source/Node/MetricsSource.cpp
@@ -23,6 +23,7 @@
   std::ostringstream Page;
   this->Handler.counters().write(Page);
   this->Sender.domainTraffic().write(Page);
+  this->Sender.waiters().write(Page);
   Page << "# TYPE acaciacross_active_requests gauge\n"
        << "acaciacross_active_requests " << this->Handler.active() << '\n'
        << "# TYPE acaciacross_upstream_connections gauge\n"
--- a/Source/UnitTests/Forwarding/FakeAttemptSender.h
+++ b/Source/UnitTests/Forwarding/FakeAttemptSender.h
@@ -42,7 +42,7 @@
   }
 
   void awaitConnection(const common::ServiceName &Service,
-                       AttemptListener &Listener) override {
+                       AttemptListener &Listener, const Urgency &) override {
     this->WaitingListeners[Service.Value] = &Listener;
   }
 
