Forwarding: requests leave room for others when it is short

Admission held each route to a part of its own latency target, so in a burst the most urgent requests, which have the shortest targets, were refused first, and a caller that repeats without pause displaced the others. DemandShares counts the recent requests of a VM by route and caller. A request is now also refused when a more urgent route at the same services has little room left and is admitted no more often, or when a route is admitted less than half as often as all; a caller with more than twice the mean share of a route has its part of the allowed wait. A request counts only those waiting attempts that go before it. Retry-After varies by up to half, so that callers refused together do not return together. With room for all, or equal priorities and no caller that presses, admission is as before.

Event 500 names the route in yields_to; requests admitted and refused are metrics by priority.

--- a/Source/Forwarding/AttemptSender.h
+++ b/Source/Forwarding/AttemptSender.h
@@ -40,6 +40,9 @@
   /// Number of listeners that wait for a searcher of the service.
   virtual std::size_t
   waitingCount(const common::ServiceName &Service) const = 0;
+  /// The same, of those with the given or a more urgent priority.
+  virtual std::size_t waitingCountUpTo(const common::ServiceName &Service,
+                                       int Priority) const = 0;
   virtual void cancelAwait(AttemptListener &Listener) = 0;
 };
 
--- a/Source/Forwarding/Refusal.h
+++ b/Source/Forwarding/Refusal.h
@@ -4,6 +4,7 @@
 #include "Common/ResultCode.h"
 
 #include <chrono>
+#include <string>
 
 namespace acaciacross::forwarding {
 
@@ -20,6 +21,9 @@
   /// has another reason.
   std::chrono::milliseconds Expected{0};
   std::chrono::milliseconds Allowed{0};
+  /// The route that the request leaves room for, and that Expected and Allowed
+  /// are of; empty when the request itself would be late.
+  std::string YieldsTo = {};
 };
 
 } // namespace acaciacross::forwarding
--- a/Source/Forwarding/UrgencyOrder.cpp
+++ b/Source/Forwarding/UrgencyOrder.cpp
@@ -43,6 +43,14 @@
   return this->PriorityByListener.size();
 }
 
+std::size_t UrgencyOrder::countUpTo(int Priority) const {
+  std::size_t Count = 0;
+  for (auto It = this->Levels.begin();
+       It != this->Levels.end() && It->first <= Priority; ++It)
+    Count += It->second.Waiting.size();
+  return Count;
+}
+
 UrgencyOrder::LevelMap::iterator UrgencyOrder::chooseLevel() {
   for (auto It = this->Levels.begin(); It != this->Levels.end(); ++It)
     if (It->second.Waiting.size() > 0 && It->second.Share.isStarved(this->All))
--- a/Source/Forwarding/UrgencyOrder.h
+++ b/Source/Forwarding/UrgencyOrder.h
@@ -25,6 +25,8 @@
   AttemptListener *takeNext(common::MonotonicTime Now);
 
   std::size_t size() const;
+  /// Number of waiting attempts with the given or a more urgent priority.
+  std::size_t countUpTo(int Priority) const;
 
 private:
   struct Level {
--- a/Source/Gateway/ConnectionWaiters.cpp
+++ b/Source/Gateway/ConnectionWaiters.cpp
@@ -18,6 +18,14 @@
   return Found == this->OrderByService.end() ? 0 : Found->second.size();
 }
 
+std::size_t ConnectionWaiters::countUpTo(const common::ServiceName &Service,
+                                         int Priority) const {
+  const auto Found = this->OrderByService.find(Service);
+  return Found == this->OrderByService.end()
+             ? 0
+             : Found->second.countUpTo(Priority);
+}
+
 forwarding::AttemptListener *
 ConnectionWaiters::takeNext(const common::ServiceName &Service,
                             common::MonotonicTime Now) {
--- a/Source/Gateway/ConnectionWaiters.h
+++ b/Source/Gateway/ConnectionWaiters.h
@@ -20,6 +20,8 @@
            forwarding::AttemptListener &Listener,
            const forwarding::Urgency &Place, common::MonotonicTime Now);
   std::size_t count(const common::ServiceName &Service) const;
+  /// Number of listeners with the given or a more urgent priority.
+  std::size_t countUpTo(const common::ServiceName &Service, int Priority) const;
   /// Removes and returns the next listener; null when there is none.
   forwarding::AttemptListener *takeNext(const common::ServiceName &Service,
                                         common::MonotonicTime Now);
--- a/Source/Gateway/ForwardingHandler.cpp
+++ b/Source/Gateway/ForwardingHandler.cpp
@@ -259,8 +259,8 @@
                                const forwarding::Answer &Result) {
   const auto Latency = this->Loop.now() - Request.ArrivedAt;
   const forwarding::Route &Target = *Request.Target;
-  this->Counters.recordAnswer(Target.Name, Result.Kind, Result.Code,
-                              Result.MissingShards, Latency,
+  this->Counters.recordAnswer(Target.Name, Target.Priority, Result.Kind,
+                              Result.Code, Result.MissingShards, Latency,
                               Target.LatencyTarget);
   const common::LogEvent Event = eventFor(Result);
   const bool IsOnTarget = Event == common::LogEvent::RequestAnswered &&
@@ -286,6 +286,8 @@
   if (Result.Rejected && Result.Rejected->Allowed.count() > 0)
     Line.milliseconds("expected_ms", Result.Rejected->Expected)
         .milliseconds("allowed_ms", Result.Rejected->Allowed);
+  if (Result.Rejected && !Result.Rejected->YieldsTo.empty())
+    Line.text("yields_to", Result.Rejected->YieldsTo);
   this->Log.write(Line);
   if (IsOnTarget)
     return;
--- a/Source/Gateway/RequestCounters.cpp
+++ b/Source/Gateway/RequestCounters.cpp
@@ -27,13 +27,14 @@
 
 } // namespace
 
-void RequestCounters::recordAnswer(const std::string &Route, AnswerKind Kind,
-                                   common::ResultCode Code,
+void RequestCounters::recordAnswer(const std::string &Route, int Priority,
+                                   AnswerKind Kind, common::ResultCode Code,
                                    std::size_t MissingShards,
                                    std::chrono::nanoseconds Latency,
                                    std::chrono::milliseconds Target) {
   RouteCounts &Counts = this->countsFor(Route);
   ++Counts.Answers[{Kind, Code}];
+  (Kind == AnswerKind::Refused ? this->Refused : this->Admitted).add(Priority);
   Counts.MissingShards += MissingShards;
   const bool IsAnswered =
       Kind == AnswerKind::Upstream || Kind == AnswerKind::Gathered;
@@ -58,6 +59,8 @@
       Page << "acaciacross_answers_total{route=\"" << Route << "\",kind=\""
            << nameOf(Outcome.first) << "\",result=\""
            << common::resultCodeName(Outcome.second) << "\"} " << Count << '\n';
+  this->Admitted.write(Page, "acaciacross_admitted_total");
+  this->Refused.write(Page, "acaciacross_refused_total");
   Page << "# TYPE acaciacross_unrouted_total counter\n";
   for (const auto &[Code, Count] : this->Unrouted)
     Page << "acaciacross_unrouted_total{result=\""
--- a/Source/Gateway/RequestCounters.h
+++ b/Source/Gateway/RequestCounters.h
@@ -3,6 +3,7 @@
 
 #include "Common/ResultCode.h"
 #include "Forwarding/AnswerKind.h"
+#include "Gateway/PriorityCounter.h"
 #include "Metrics/LatencyHistogram.h"
 
 #include <chrono>
@@ -18,9 +19,9 @@
 /// Counts the answers that callers received, by route.
 class RequestCounters {
 public:
-  void recordAnswer(const std::string &Route, forwarding::AnswerKind Kind,
-                    common::ResultCode Code, std::size_t MissingShards,
-                    std::chrono::nanoseconds Latency,
+  void recordAnswer(const std::string &Route, int Priority,
+                    forwarding::AnswerKind Kind, common::ResultCode Code,
+                    std::size_t MissingShards, std::chrono::nanoseconds Latency,
                     std::chrono::milliseconds Target);
   /// The caller closed its connection before the answer.
   void noteAbandoned(const std::string &Route);
@@ -45,6 +46,8 @@
 
   std::map<std::string, RouteCounts> Routes;
   std::map<common::ResultCode, std::uint64_t> Unrouted;
+  PriorityCounter Admitted;
+  PriorityCounter Refused;
 };
 
 } // namespace acaciacross::gateway
--- a/Source/Gateway/UpstreamSender.cpp
+++ b/Source/Gateway/UpstreamSender.cpp
@@ -113,6 +113,11 @@
   return this->Waiters.count(Service);
 }
 
+std::size_t UpstreamSender::waitingCountUpTo(const common::ServiceName &Service,
+                                             int Priority) const {
+  return this->Waiters.countUpTo(Service, Priority);
+}
+
 void UpstreamSender::cancelAwait(forwarding::AttemptListener &Listener) {
   this->Waiters.remove(Listener, this->Loop.now());
 }
--- a/Source/Gateway/UpstreamSender.h
+++ b/Source/Gateway/UpstreamSender.h
@@ -48,6 +48,8 @@
                        forwarding::AttemptListener &Listener,
                        const forwarding::Urgency &Place) override;
   std::size_t waitingCount(const common::ServiceName &Service) const override;
+  std::size_t waitingCountUpTo(const common::ServiceName &Service,
+                               int Priority) const override;
   void cancelAwait(forwarding::AttemptListener &Listener) override;
 
   /// Closes the idle connections to searchers that are no longer published.
--- a/Source/Node/TrafficThread.h
+++ b/Source/Node/TrafficThread.h
@@ -82,6 +82,7 @@
   forwarding::LatencyTargetPartialAnswerPolicy PartialAnswers;
   forwarding::StopAdmission Stop;
   forwarding::ReachabilityAdmission Reachability;
+  forwarding::DemandShares Demand;
   forwarding::LoadAdmission Load;
   forwarding::AdmissionChain Admission;
   forwarding::ForwardingDependencies Dependencies;
--- a/Source/UnitTests/Forwarding/FakeAttemptSender.h
+++ b/Source/UnitTests/Forwarding/FakeAttemptSender.h
@@ -51,6 +51,11 @@
     return Found == this->WaitingCounts.end() ? 0 : Found->second;
   }
 
+  std::size_t waitingCountUpTo(const common::ServiceName &Service,
+                               int) const override {
+    return this->waitingCount(Service);
+  }
+
   void cancelAwait(AttemptListener &Listener) override {
     std::erase_if(this->WaitingListeners,
                   [&](const auto &Entry) { return Entry.second == &Listener; });
--- a/Source/UnitTests/Forwarding/LoadAdmissionTest.cpp
+++ b/Source/UnitTests/Forwarding/LoadAdmissionTest.cpp
@@ -5,6 +5,8 @@
 #include "Forwarding/AdmissionChain.h"
 #include "Forwarding/ReachabilityAdmission.h"
 
+#include <set>
+
 namespace acaciacross::forwarding {
 
 using std::chrono::milliseconds;
@@ -34,7 +36,8 @@
   }
 
   Route Target;
-  LoadAdmission Policy{this->Sender};
+  DemandShares Demand;
+  LoadAdmission Policy{this->Sender, this->Demand, this->Random};
 };
 
 TEST_F(LoadAdmissionTest, ShortQueuesAdmitRequests) {
@@ -80,6 +83,25 @@
   EXPECT_TRUE(this->check());
 }
 
+// Callers that were refused together must not return together, nor before the
+// queue has emptied.
+TEST_F(LoadAdmissionTest, RetryTimesDifferAndGrowWithTheWait) {
+  const auto RetryTimes = [&](unsigned Waiting) {
+    std::set<milliseconds> Times;
+    for (const char *Service : {"s0", "s1", "s2", "s3"})
+      this->reportQueue(Service, Waiting);
+    for (int I = 0; I < 20; ++I)
+      Times.insert(this->check()->RetryAfter);
+    return Times;
+  };
+  const std::set<milliseconds> Short = RetryTimes(40);
+  EXPECT_GT(Short.size(), 10U);
+  EXPECT_GE(*Short.begin(), milliseconds(200));
+  const std::set<milliseconds> Long = RetryTimes(400);
+  EXPECT_GE(*Long.begin(), milliseconds(1'900));
+  EXPECT_LE(*Long.rbegin(), milliseconds(3'300));
+}
+
 // Only replies report that queues are empty. If old reports stayed valid, no
 // request would be admitted after a burst.
 TEST_F(LoadAdmissionTest, OutdatedQueueReportsAreIgnored) {
