Forwarding: half of the allowed wait for callers that press

A caller with more than twice the mean share had its part of the allowed wait, in the ratio of the mean share to its own. Callers of one failure domain behind one address are named the VMs of that domain, so their address has most of the requests there without pressing; a ratio would have held them to a small part of the room. Half of the allowed wait is the share that other requests which leave room have, and keeps the searchers busy.

--- a/Source/Forwarding/DemandShares.cpp
+++ b/Source/Forwarding/DemandShares.cpp
@@ -97,21 +97,19 @@
   return nullptr;
 }
 
-double DemandShares::waitShare(const ForwardRequest &Request,
-                               common::MonotonicTime Now) const {
+bool DemandShares::isPressing(const ForwardRequest &Request,
+                              common::MonotonicTime Now) const {
   const auto Callers = this->CallersByRoute.find(Request.Target->Name);
   const auto Demand = this->Routes.find(Request.Target->Name);
   if (Callers == this->CallersByRoute.end() || Demand == this->Routes.end())
-    return 1.0;
+    return false;
   const auto Found = Callers->second.find(Request.Caller);
   if (Found == Callers->second.end())
-    return 1.0;
+    return false;
   const double Own = Found->second.at(Now).Served;
-  if (Own < MinPressingCount)
-    return 1.0;
   const double Mean = Demand->second.Share.at(Now).Served /
                       static_cast<double>(Callers->second.size());
-  return Own > PressingFactor * Mean ? Mean / Own : 1.0;
+  return Own >= MinPressingCount && Own > PressingFactor * Mean;
 }
 
 void DemandShares::dropFaded(common::MonotonicTime Now) {
--- a/Source/Forwarding/DemandShares.h
+++ b/Source/Forwarding/DemandShares.h
@@ -30,10 +30,10 @@
            common::MonotonicTime Now,
            const std::function<bool(const RouteDemand &)> &IsShort) const;
 
-  /// The part of the allowed wait that a request of this caller may expect, 0
-  /// to 1; 1 for a caller within its share of the route's admitted requests.
-  double waitShare(const ForwardRequest &Request,
-                   common::MonotonicTime Now) const;
+  /// Whether the request's caller has clearly more than its share of the recent
+  /// admitted requests of the route.
+  bool isPressing(const ForwardRequest &Request,
+                  common::MonotonicTime Now) const;
 
 private:
   using CallerMap = std::map<common::CallerHost, RecentShare>;
--- a/Source/Forwarding/LoadAdmission.cpp
+++ b/Source/Forwarding/LoadAdmission.cpp
@@ -16,9 +16,9 @@
 // Queues of searchers empty within about one latency target; an earlier retry
 // would be rejected again.
 constexpr milliseconds MinRetryDelay{200};
-// Share of a route's allowed wait that requests which leave room for it may use
-// up. At the whole of it, they would take each place that becomes free before
-// the route has its next request.
+// Share of the allowed wait that requests which leave room for a route, or for
+// other callers, may use up. At the whole of it, they would take each place
+// that becomes free before the others ask.
 constexpr double YieldingShare = 0.5;
 // Requests that were refused together would be refused again if they returned
 // together.
@@ -65,8 +65,8 @@
                      const ServiceRegistry &Registry,
                      common::MonotonicTime Now) const {
   ExpectedAnswer Own = this->expect(*Request.Target, Services, Registry, Now);
-  if (Own.Wait.count() > 0.0)
-    Own.AllowedWait *= this->Demand.waitShare(Request, Now);
+  if (Own.AllowedWait.count() > 0.0 && this->Demand.isPressing(Request, Now))
+    Own.AllowedWait *= YieldingShare;
   std::optional<Refusal> Refused;
   if (Own.Wait > Own.AllowedWait)
     Refused = this->refuse(Own);
