--- a/Source/UnitTests/Forwarding/HomesTest.cpp
+++ b/Source/UnitTests/Forwarding/HomesTest.cpp
@@ -1,4 +1,5 @@
 #include "Forwarding/AvailabilityForecast.h"
+#include "Forwarding/DemandShares.h"
 #include "Forwarding/GatherExecution.h"
 #include "Forwarding/LoadAdmission.h"
 #include "Forwarding/ReachabilityAdmission.h"
@@ -47,10 +48,11 @@
     if (auto Refused = ReachabilityAdmission().check(*Request, Services,
                                                      this->Registry, Now))
       return Refused;
-    return LoadAdmission(this->Sender)
+    return LoadAdmission(this->Sender, this->Demand, this->Random)
         .check(*Request, Services, this->Registry, Now);
   }
 
+  DemandShares Demand;
   const common::ServiceName S0{"s0"};
   const Route Plain = plainRoute(Repeatability::Repeatable);
 };
--- a/Source/UnitTests/Gateway/UpstreamSenderTest.cpp
+++ b/Source/UnitTests/Gateway/UpstreamSenderTest.cpp
@@ -118,7 +118,7 @@
 // Nothing else would notify it, so that its caller would wait until the
 // deadline.
 TEST_F(UpstreamSenderTest, WaitingListenerIsNotifiedWhenNoSearcherIsLeft) {
-  this->Sender.awaitConnection(this->Service, *this);
+  this->Sender.awaitConnection(this->Service, *this, {});
   this->Registry.setEvacuatedDomains({"z1"});
   this->Sender.withdrawUnlisted();
   this->run(LongEnough);
@@ -127,7 +127,7 @@
 
 // A listener that is notified in vain loses its place in the queue.
 TEST_F(UpstreamSenderTest, WaitingListenerKeepsItsPlaceWhileASearcherIsListed) {
-  this->Sender.awaitConnection(this->Service, *this);
+  this->Sender.awaitConnection(this->Service, *this, {});
   this->Registry.setEvacuatedDomains({"z2"});
   this->Sender.withdrawUnlisted();
   this->run(Moment);
