--- a/Source/Node/TrafficThread.cpp
+++ b/Source/Node/TrafficThread.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <iterator>
 #include <optional>
-#include <ranges>
 #include <utility>
 
 namespace acaciacross::node {
@@ -154,13 +153,10 @@
   const auto IsAllowed = [&](const routing::AddressCandidate &Vm) {
     return !Homes || this->HomeRegions.allows(Vm, *Homes, Query);
   };
-  std::vector<routing::AddressCandidate> Vms;
-  Vms.reserve(this->Fleet.EntryVms.size());
-  std::ranges::copy_if(this->Fleet.EntryVms | std::views::drop(1),
-                       std::back_inserter(Vms), IsAllowed);
-  const routing::AddressCandidate &ThisVm = this->Fleet.EntryVms.front();
-  Vms.insert(Vms.begin(), ThisVm);
-  return this->VmSelector.select(Vms, this->isReady() && IsAllowed(ThisVm),
+  const std::vector<routing::AddressCandidate> &All = this->Fleet.EntryVms;
+  std::vector<routing::AddressCandidate> Vms{All.front()};
+  std::copy_if(All.begin() + 1, All.end(), std::back_inserter(Vms), IsAllowed);
+  return this->VmSelector.select(Vms, this->isReady() && IsAllowed(All.front()),
                                  this->Time.monotonicNow(), MaxCount,
                                  Query.FailureDomain);
 }
