--- a/Source/Common/StorePosition.h
+++ b/Source/Common/StorePosition.h
@@ -3,6 +3,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace acaciacross::common {
 
@@ -16,7 +17,12 @@
   constexpr StorePosition(std::uint64_t Era, std::uint64_t Revision)
       : Era(Era), Revision(Revision) {}
 
-  auto operator<=>(const StorePosition &) const = default;
+  bool operator==(const StorePosition &) const = default;
+  // Written out, because clang-tidy 14 reports a defaulted operator.
+  auto operator<=>(const StorePosition &Other) const {
+    return std::tie(this->Era, this->Revision) <=>
+           std::tie(Other.Era, Other.Revision);
+  }
 
   std::uint64_t Era = 0;
   std::uint64_t Revision = 0;
