--- a/Source/SystemTests/ProcessHandle.cpp
+++ b/Source/SystemTests/ProcessHandle.cpp
@@ -50,6 +50,8 @@
 
 ProcessHandle::~ProcessHandle() { this->kill(); }
 
+pid_t ProcessHandle::id() const { return this->Id; }
+
 void ProcessHandle::signal(int SignalNumber) {
   if (!this->ExitStatus)
     ::kill(this->Id, SignalNumber);
--- a/Source/SystemTests/ProcessHandle.h
+++ b/Source/SystemTests/ProcessHandle.h
@@ -23,6 +23,8 @@
   ProcessHandle(const ProcessHandle &) = delete;
   ProcessHandle &operator=(const ProcessHandle &) = delete;
 
+  pid_t id() const;
+
   void signal(int SignalNumber);
 
   /// Sends SIGKILL and waits until the process has been reaped.
