Gateway: memory, descriptors and turns of callers are bounded

All that connections of callers hold is counted with its true cost and stays within a quarter of the VM's memory. Heads have a bound on their fields, bodies that no route or page needs are dropped, and a caller that does not read its answers is not read either. Ports accept only as many connections as DescriptorShares leaves beside searchers, peers, the store and pages, and stop accepting without spinning. Freed memory is returned after a crowd. Events 610 to 615 and metrics by cause.

Http: a status that is not three digits is malformed; 0200 was passed on as 200.

Net: timers that are set for now by a timer run in the next round.

--- a/Source/Common/LogEvent.cpp
+++ b/Source/Common/LogEvent.cpp
@@ -59,6 +59,12 @@
     LogEvent::RequestAbandoned,
     LogEvent::AttemptEnded,
     LogEvent::MessageDropped,
+    LogEvent::ClientMemoryShort,
+    LogEvent::AcceptPaused,
+    LogEvent::AcceptResumed,
+    LogEvent::ClientsTooSlow,
+    LogEvent::RequestsOversized,
+    LogEvent::MemoryReturned,
 };
 
 } // namespace
@@ -169,6 +175,18 @@
     return "AttemptEnded";
   case LogEvent::MessageDropped:
     return "MessageDropped";
+  case LogEvent::ClientMemoryShort:
+    return "ClientMemoryShort";
+  case LogEvent::AcceptPaused:
+    return "AcceptPaused";
+  case LogEvent::AcceptResumed:
+    return "AcceptResumed";
+  case LogEvent::ClientsTooSlow:
+    return "ClientsTooSlow";
+  case LogEvent::RequestsOversized:
+    return "RequestsOversized";
+  case LogEvent::MemoryReturned:
+    return "MemoryReturned";
   }
   return "Unknown";
 }
--- a/Source/Common/LogEvent.h
+++ b/Source/Common/LogEvent.h
@@ -9,7 +9,7 @@
 
 /// Numbered log events, which docs/EVENTS.md describes. The hundreds digit
 /// gives the group: 1xx process, 2xx configuration, 3xx fleet, 4xx upstreams,
-/// 5xx requests, 6xx messages. Numbers are not reused.
+/// 5xx requests, 6xx messages and clients. Numbers are not reused.
 enum class LogEvent : std::uint16_t {
   ProcessStarted = 100,
   ProcessStopping = 101,
@@ -68,6 +68,12 @@
   AttemptEnded = 507,
 
   MessageDropped = 600,
+  ClientMemoryShort = 610,
+  AcceptPaused = 611,
+  AcceptResumed = 612,
+  ClientsTooSlow = 613,
+  RequestsOversized = 614,
+  MemoryReturned = 615,
 };
 
 /// Returns the name of the enumerator, or "Unknown" for other numbers.
--- /dev/null
+++ b/Source/Gateway/DescriptorShares.cpp
@@ -0,0 +1,33 @@
+#include "Gateway/DescriptorShares.h"
+
+#include <algorithm>
+
+namespace acaciacross::gateway {
+
+namespace {
+
+// Readiness, addresses and metrics.
+constexpr std::size_t PagePorts = 3;
+// A crowd at a page port is turned over once in a short time, so the platform's
+// probes get their turn with a small share.
+constexpr std::size_t PageDivisor = 32;
+constexpr std::size_t MinPageConnections = 4;
+
+} // namespace
+
+DescriptorShares::DescriptorShares(std::size_t Total) : Total(Total) {}
+
+// At least a quarter is kept for this VM's own connections and files; with many
+// searchers, room for a growth by an eighth of all descriptors.
+std::size_t DescriptorShares::callers(std::size_t UpstreamConnections) const {
+  const std::size_t Kept =
+      std::max(this->Total / 4, UpstreamConnections + this->Total / 8) +
+      PagePorts * this->page();
+  return this->Total > Kept + 1 ? this->Total - Kept : 1;
+}
+
+std::size_t DescriptorShares::page() const {
+  return std::max(MinPageConnections, this->Total / PageDivisor);
+}
+
+} // namespace acaciacross::gateway
--- a/Source/Gateway/ForwardingHandler.cpp
+++ b/Source/Gateway/ForwardingHandler.cpp
@@ -27,6 +27,9 @@
 constexpr std::chrono::milliseconds AnswerMargin{10};
 // The first configuration arrives within one or two seconds of the start.
 constexpr std::chrono::milliseconds StartupRetryDelay{300};
+// A connection that was rejected for lack of memory is gone after about this
+// time.
+constexpr std::chrono::milliseconds MemoryRetryDelay{1'000};
 // Complete answers within the latency target are counted in the metrics; only
 // one in this many is logged, as a sample.
 constexpr std::uint64_t OnTargetAnswersPerLine = 64;
@@ -103,9 +106,7 @@
                  StartupRetryDelay);
     return;
   }
-  const std::string *Host = Message.Headers.find("Host");
-  const forwarding::Route *Target =
-      Host == nullptr ? nullptr : Table->match(*Host, Message.Target);
+  const forwarding::Route *Target = findRoute(*Table, Message);
   if (Target == nullptr) {
     this->reject(*Connection, Metadata.Id, ResultCode::NotFound, NotFound, {});
     return;
@@ -115,6 +116,12 @@
                  BadRequest, {});
     return;
   }
+  // The route was published while the body arrived.
+  if (Message.IsBodyDropped) {
+    this->reject(*Connection, Metadata.Id, ResultCode::NotServing, Unavailable,
+                 StartupRetryDelay);
+    return;
+  }
   const auto Request = std::make_shared<forwarding::ForwardRequest>();
   Request->Id = Metadata.Id;
   Request->Message = std::move(Message);
@@ -188,6 +195,17 @@
   this->reject(Connection, {}, Reason.Code, Reason.Status, {});
 }
 
+void ForwardingHandler::onRequestShed(ServerConnection &Connection) {
+  this->reject(Connection, {}, ResultCode::Overloaded, Unavailable,
+               MemoryRetryDelay);
+}
+
+bool ForwardingHandler::wantsBody(const http::Request &Head) const {
+  const auto &Table = this->Dependencies.Services.table();
+  return Table != nullptr && findRoute(*Table, Head) != nullptr &&
+         !this->Protocol.decode(Head).Id.Value.empty();
+}
+
 std::size_t ForwardingHandler::maxHeadBytes() const {
   return this->limits().MaxHeadBytes;
 }
@@ -211,6 +229,13 @@
   return Table == nullptr ? forwarding::CallerLimits() : Table->limits();
 }
 
+const forwarding::Route *
+ForwardingHandler::findRoute(const forwarding::RoutingTable &Table,
+                             const http::Request &Message) {
+  const std::string *Host = Message.Headers.find("Host");
+  return Host == nullptr ? nullptr : Table.match(*Host, Message.Target);
+}
+
 std::vector<common::ServiceName>
 ForwardingHandler::servicesOf(const forwarding::Route &Target) const {
   if (Target.Gather)
@@ -230,6 +255,12 @@
   if (RetryAfter.count() > 0)
     Result.RetryAfter = RetryAfter;
   this->Counters.noteUnrouted(Code);
+  Connection.respond(this->Protocol.encode(Result));
+  const bool IsCountedElsewhere = Code == ResultCode::RequestTooLarge ||
+                                  Code == ResultCode::RequestTooSlow ||
+                                  Code == ResultCode::Overloaded;
+  if (IsCountedElsewhere)
+    return;
   const auto &Table = this->Dependencies.Services.table();
   this->Log.write(logging::LogRecord(common::LogEvent::RequestRefused)
                       .text("request", Id.Value)
@@ -240,7 +271,6 @@
                                              ? 0
                                              : static_cast<std::int64_t>(
                                                    Table->version())));
-  Connection.respond(this->Protocol.encode(Result));
 }
 
 void ForwardingHandler::finish(ActiveRequest &Request,
--- a/Source/Gateway/ForwardingHandler.h
+++ b/Source/Gateway/ForwardingHandler.h
@@ -41,6 +41,8 @@
   void onClosed(ServerConnection &Connection) override;
   void onRequestError(ServerConnection &Connection,
                       http::ParseProblem Problem) override;
+  void onRequestShed(ServerConnection &Connection) override;
+  bool wantsBody(const http::Request &Head) const override;
   std::size_t maxHeadBytes() const override;
   std::size_t maxBodyBytes() const override;
   std::chrono::milliseconds headTimeout() const override;
@@ -51,12 +53,17 @@
   friend class ActiveRequest;
 
   forwarding::CallerLimits limits() const;
+  /// Returns the route of a request; null when there is none.
+  static const forwarding::Route *
+  findRoute(const forwarding::RoutingTable &Table,
+            const http::Request &Message);
   std::vector<common::ServiceName>
   servicesOf(const forwarding::Route &Target) const;
   void
   execute(const std::shared_ptr<ServerConnection> &Connection,
           const std::shared_ptr<const forwarding::ForwardRequest> &Request);
-  /// Sends an error response for a request without a route.
+  /// Sends an error response for a request without a route. Events of requests
+  /// that do not keep to the limits are left to ClientGuard, which counts them.
   void reject(ServerConnection &Connection, const common::RequestId &Id,
               common::ResultCode Code, int Status,
               std::chrono::milliseconds RetryAfter);
--- a/Source/Gateway/Listener.h
+++ b/Source/Gateway/Listener.h
@@ -2,12 +2,15 @@
 #define ACACIACROSS_GATEWAY_LISTENER_H
 
 #include "Common/Address.h"
+#include "Gateway/ClientGuard.h"
+#include "Gateway/ConnectionAllowance.h"
 #include "Gateway/RequestHandler.h"
 #include "Gateway/ServerConnection.h"
 #include "Net/Descriptor.h"
 #include "Net/EventLoop.h"
 
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 namespace acaciacross::gateway {
@@ -17,7 +20,8 @@
 public:
   /// Throws common::Error (SocketFailed).
   Listener(net::EventLoop &Loop, const common::Address &Local,
-           RequestHandler &Handler);
+           RequestHandler &Handler, ClientGuard &Guard,
+           const ConnectionAllowance &Allowance);
   ~Listener() override;
   Listener(const Listener &) = delete;
   Listener &operator=(const Listener &) = delete;
@@ -33,15 +37,26 @@
   void onReady(std::uint32_t Events) override;
   /// Returns false when no connection is waiting.
   bool acceptNext();
+  bool hasRoom();
+  /// Closes connections on which nothing moves.
+  void makeRoom();
+  /// Accepts nothing until there is room again.
+  void pause();
+  void armResume();
+  void resume();
   void closeSocket();
   void removeClosed();
 
   net::EventLoop &Loop;
   RequestHandler &Handler;
+  ClientGuard &Guard;
+  const ConnectionAllowance &Allowance;
   net::Descriptor Socket;
   std::unordered_map<ServerConnection *, std::shared_ptr<ServerConnection>>
       Connections;
   std::size_t CleanupThreshold;
+  common::MonotonicTime PausedAt;
+  std::optional<net::TimerId> ResumeTimer;
 };
 
 } // namespace acaciacross::gateway
--- a/Source/Gateway/PageHandler.cpp
+++ b/Source/Gateway/PageHandler.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr int BadRequest = 400;
+constexpr int Unavailable = 503;
 // Requests for pages have few header fields and no body.
 constexpr std::size_t MaxHeadBytes = std::size_t{8} << 10;
 constexpr std::size_t MaxBodyBytes = std::size_t{4} << 10;
@@ -33,6 +34,14 @@
   Connection.respond(std::move(Reply));
 }
 
+void PageHandler::onRequestShed(ServerConnection &Connection) {
+  http::Response Reply;
+  Reply.Status = Unavailable;
+  Connection.respond(std::move(Reply));
+}
+
+bool PageHandler::wantsBody(const http::Request &) const { return false; }
+
 std::size_t PageHandler::maxHeadBytes() const { return MaxHeadBytes; }
 
 std::size_t PageHandler::maxBodyBytes() const { return MaxBodyBytes; }
--- a/Source/Gateway/PageHandler.h
+++ b/Source/Gateway/PageHandler.h
@@ -16,6 +16,8 @@
   void onClosed(ServerConnection &Connection) override;
   void onRequestError(ServerConnection &Connection,
                       http::ParseProblem Problem) override;
+  void onRequestShed(ServerConnection &Connection) override;
+  bool wantsBody(const http::Request &Head) const override;
   std::size_t maxHeadBytes() const override;
   std::size_t maxBodyBytes() const override;
   std::chrono::milliseconds headTimeout() const override;
--- a/Source/Gateway/RequestHandler.h
+++ b/Source/Gateway/RequestHandler.h
@@ -28,6 +28,13 @@
   virtual void onRequestError(ServerConnection &Connection,
                               http::ParseProblem Problem) = 0;
 
+  /// The connection drops its unfinished request, because all connections
+  /// together hold too much memory. Must lead to a response like onRequest.
+  virtual void onRequestShed(ServerConnection &Connection) = 0;
+
+  /// Whether the body that follows a head is needed. Without it, onRequest gets
+  /// the request with IsBodyDropped set and must reject it.
+  virtual bool wantsBody(const http::Request &Head) const = 0;
   virtual std::size_t maxHeadBytes() const = 0;
   virtual std::size_t maxBodyBytes() const = 0;
   virtual std::chrono::milliseconds headTimeout() const = 0;
--- a/Source/Http/MessageParser.cpp
+++ b/Source/Http/MessageParser.cpp
@@ -1,9 +1,30 @@
 #include "Http/MessageParser.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace acaciacross::http {
 
+namespace {
+
+// A short field takes several times its size in memory, so a head of the
+// largest size could take many times that. Heads whose fields take this many
+// bytes on average never meet the limit; those of browsers and libraries take
+// more.
+constexpr std::size_t BytesPerField = 32;
+// For small limits of the head.
+constexpr std::size_t MinMaxFields = 128;
+
+// The vector of fields doubles its capacity.
+constexpr std::size_t BytesPerEntry = 2 * sizeof(Header);
+
+/// Memory that a text takes outside of the object; none for a short one.
+std::size_t allocatedBytes(const std::string &Text) {
+  return Text.capacity() > std::string().capacity() ? Text.capacity() + 1 : 0;
+}
+
+} // namespace
+
 MessageParser::MessageParser(http_parser_type Type, std::size_t MaxHeadBytes,
                              std::size_t MaxBodyBytes)
     : Type(Type), MaxHeadBytes(MaxHeadBytes), MaxBodyBytes(MaxBodyBytes) {
@@ -15,6 +36,10 @@
   this->Parser.data = this;
   this->HeadBytes = 0;
   this->HeadPartBytes = 0;
+  this->FieldMemory = 0;
+  this->FieldCount = 0;
+  this->BodyBytes = 0;
+  this->DiscardsBody = false;
   this->Fields = HeaderList();
   this->FieldName.clear();
   this->FieldValue.clear();
@@ -30,10 +55,19 @@
   this->MaxBodyBytes = MaxBodyBytes;
 }
 
+void MessageParser::discardBody() {
+  this->DiscardsBody = true;
+  std::string().swap(this->body());
+}
+
 std::size_t MessageParser::feed(std::string_view Bytes) {
   if (this->Complete || this->Problem != ParseProblem::None || Bytes.empty())
     return 0;
   const bool WasInHead = !this->HeadComplete;
+  if (WasInHead)
+    this->inspectHead(Bytes);
+  if (this->Problem != ParseProblem::None)
+    return 0;
   const std::size_t Used = http_parser_execute(&this->Parser, &settings(),
                                                Bytes.data(), Bytes.size());
   if (WasInHead)
@@ -63,13 +97,15 @@
 bool MessageParser::isComplete() const { return this->Complete; }
 
 std::size_t MessageParser::heldBytes() {
-  return this->HeadPartBytes + this->body().capacity();
+  return this->HeadPartBytes + this->FieldMemory + allocatedBytes(this->body());
 }
 
 ParseProblem MessageParser::problem() const { return this->Problem; }
 
 void MessageParser::reject() { this->Problem = ParseProblem::Malformed; }
 
+void MessageParser::inspectHead(std::string_view) {}
+
 void MessageParser::appendTarget(std::string_view) {}
 
 MessageParser &MessageParser::fromParser(http_parser *RawParser) {
@@ -102,6 +138,10 @@
   MessageParser &Self = fromParser(RawParser);
   if (Self.IsInValue)
     Self.finishField();
+  if (Self.FieldCount >= Self.maxFields()) {
+    Self.Problem = ParseProblem::HeadTooLarge;
+    return -1;
+  }
   Self.FieldName.append(At, Length);
   return Self.countHeadBytes(Length);
 }
@@ -131,11 +171,13 @@
 int MessageParser::onBody(http_parser *RawParser, const char *At,
                           std::size_t Length) {
   MessageParser &Self = fromParser(RawParser);
-  if (Self.body().size() + Length > Self.MaxBodyBytes) {
+  Self.BodyBytes += Length;
+  if (Self.BodyBytes > Self.MaxBodyBytes) {
     Self.Problem = ParseProblem::BodyTooLarge;
     return 1;
   }
-  Self.body().append(At, Length);
+  if (!Self.DiscardsBody)
+    Self.body().append(At, Length);
   return 0;
 }
 
@@ -156,13 +198,21 @@
   return -1;
 }
 
+std::size_t MessageParser::maxFields() const {
+  return std::max(MinMaxFields, this->MaxHeadBytes / BytesPerField);
+}
+
 // Trailer fields arrive after the head and are dropped. http-parser accepts
 // names with blanks, which other parsers read in another way or not at all.
 void MessageParser::finishField() {
   if (!HeaderList::isValidField(this->FieldName, this->FieldValue))
     this->reject();
-  if (!this->HeadComplete)
+  ++this->FieldCount;
+  if (!this->HeadComplete) {
+    this->FieldMemory += BytesPerEntry + allocatedBytes(this->FieldName) +
+                         allocatedBytes(this->FieldValue);
     this->Fields.add(std::move(this->FieldName), std::move(this->FieldValue));
+  }
   this->FieldName.clear();
   this->FieldValue.clear();
   this->IsInValue = false;
--- a/Source/Http/MessageParser.h
+++ b/Source/Http/MessageParser.h
@@ -27,7 +27,7 @@
   bool hasStarted() const;
   bool isHeadComplete() const;
   bool isComplete() const;
-  /// Memory that the incomplete message holds.
+  /// Memory that the current message holds, with that of its fields.
   std::size_t heldBytes();
   /// Why the message cannot be used; None while it can.
   ParseProblem problem() const;
@@ -41,7 +41,12 @@
   void restart();
   /// Limits in bytes.
   void setLimits(std::size_t MaxHeadBytes, std::size_t MaxBodyBytes);
+  /// Leaves the body of the current message empty. It still counts against its
+  /// limit.
+  void discardBody();
 
+  /// Called with bytes of the head before they are parsed.
+  virtual void inspectHead(std::string_view Bytes);
   /// Appends a part of the request target; called for each part that is read.
   virtual void appendTarget(std::string_view Part);
   /// Makes the current message malformed, for finishHead.
@@ -65,6 +70,8 @@
 
   /// Returns 0, or -1 when the head is larger than allowed.
   int countHeadBytes(std::size_t Length);
+  /// Most fields of a head.
+  std::size_t maxFields() const;
   void finishField();
 
   http_parser Parser{};
@@ -73,6 +80,11 @@
   std::size_t MaxBodyBytes;
   std::size_t HeadBytes = 0;
   std::size_t HeadPartBytes = 0;
+  /// Memory of the fields that are complete.
+  std::size_t FieldMemory = 0;
+  std::size_t FieldCount = 0;
+  std::size_t BodyBytes = 0;
+  bool DiscardsBody = false;
   HeaderList Fields;
   std::string FieldName;
   std::string FieldValue;
--- a/Source/Http/Request.h
+++ b/Source/Http/Request.h
@@ -14,6 +14,9 @@
   std::string Target;
   HeaderList Headers;
   std::string Body;
+  /// Whether the body was not kept, because the head alone decided that the
+  /// request is rejected.
+  bool IsBodyDropped = false;
   /// Whether the connection may carry another request.
   bool KeepAlive = false;
 };
--- a/Source/Http/RequestParser.cpp
+++ b/Source/Http/RequestParser.cpp
@@ -11,6 +11,15 @@
   this->setLimits(MaxHeadBytes, MaxBodyBytes);
 }
 
+void RequestParser::drop() { this->take(); }
+
+const Request &RequestParser::head() const { return this->Message; }
+
+void RequestParser::dropBody() {
+  this->Message.IsBodyDropped = true;
+  this->discardBody();
+}
+
 Request RequestParser::take() {
   Request Result = std::move(this->Message);
   this->Message = Request();
--- a/Source/Http/RequestParser.h
+++ b/Source/Http/RequestParser.h
@@ -17,6 +17,12 @@
 
   /// Changes the limits in bytes. Only allowed between two requests.
   void limit(std::size_t MaxHeadBytes, std::size_t MaxBodyBytes);
+  /// Drops what has arrived of the current request and resets the parser.
+  void drop();
+  /// The head of the current request. Only allowed when it is complete.
+  const Request &head() const;
+  /// Leaves the body of the current request empty.
+  void dropBody();
   /// Returns the complete request and resets the parser for the next one.
   Request take();
 
--- a/Source/Http/ResponseParser.h
+++ b/Source/Http/ResponseParser.h
@@ -5,6 +5,7 @@
 #include "Http/Response.h"
 
 #include <string>
+#include <string_view>
 
 namespace acaciacross::http {
 
@@ -26,11 +27,14 @@
   Response take();
 
 private:
+  void inspectHead(std::string_view Bytes) override;
   bool finishHead(http_parser &RawParser, HeaderList Headers) override;
   std::string &body() override;
 
   Response Message;
   bool ExpectsBody = true;
+  /// The first bytes of the status line.
+  std::string StatusLine;
 };
 
 } // namespace acaciacross::http
--- a/Source/Net/EventLoop.cpp
+++ b/Source/Net/EventLoop.cpp
@@ -151,10 +151,14 @@
   Entry.Handler->onReady(Events);
 }
 
+// A timer that is set for now by another one runs in the next round, so that
+// work which continues itself this way leaves turns to the descriptors.
 void EventLoop::runDueTimers() {
   this->refreshTime();
+  const std::uint64_t FirstNew = this->NextTimer;
   while (!this->Timers.empty() &&
-         this->Timers.begin()->first.DueAt <= this->Now) {
+         this->Timers.begin()->first.DueAt <= this->Now &&
+         this->Timers.begin()->first.Sequence < FirstNew) {
     const Task Work = std::move(this->Timers.begin()->second);
     this->Timers.erase(this->Timers.begin());
     Work();
--- a/Source/Net/Sockets.cpp
+++ b/Source/Net/Sockets.cpp
@@ -7,10 +7,12 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 
 #include <cerrno>
 #include <chrono>
+#include <limits>
 
 namespace acaciacross::net {
 
@@ -90,6 +92,13 @@
   return Socket;
 }
 
+std::size_t descriptorLimit() {
+  rlimit Limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &Limit) != 0 || Limit.rlim_cur == 0)
+    return std::numeric_limits<std::size_t>::max();
+  return static_cast<std::size_t>(Limit.rlim_cur);
+}
+
 std::size_t unacknowledgedBytes(const Descriptor &Socket) {
   int Count = 0;
   if (::ioctl(Socket.get(), SIOCOUTQ, &Count) != 0)
--- a/Source/Net/Sockets.h
+++ b/Source/Net/Sockets.h
@@ -19,6 +19,9 @@
 /// not open when there is none.
 Descriptor acceptFrom(const Descriptor &Listening);
 
+/// Number of descriptors that this process may have open.
+std::size_t descriptorLimit();
+
 /// Number of sent bytes that the peer has not acknowledged; 0 when unknown.
 std::size_t unacknowledgedBytes(const Descriptor &Socket);
 
--- a/Source/Node/MetricsSource.cpp
+++ b/Source/Node/MetricsSource.cpp
@@ -13,16 +13,18 @@
 
 MetricsSource::MetricsSource(const gateway::ForwardingHandler &Handler,
                              const gateway::UpstreamSender &Sender,
+                             const gateway::ClientGuard &Clients,
                              forwarding::ServiceRegistry &Registry,
                              const logging::EventLog &Log,
                              const common::Clock &TimeSource)
-    : Handler(Handler), Sender(Sender), Registry(Registry), Log(Log),
-      Time(TimeSource) {}
+    : Handler(Handler), Sender(Sender), Clients(Clients), Registry(Registry),
+      Log(Log), Time(TimeSource) {}
 
 http::Response MetricsSource::page(const http::Request &) {
   std::ostringstream Page;
   this->Handler.counters().write(Page);
   this->Sender.domainTraffic().write(Page);
+  this->Clients.write(Page);
   Page << "# TYPE acaciacross_active_requests gauge\n"
        << "acaciacross_active_requests " << this->Handler.active() << '\n'
        << "# TYPE acaciacross_upstream_connections gauge\n"
--- a/Source/Node/MetricsSource.h
+++ b/Source/Node/MetricsSource.h
@@ -2,6 +2,7 @@
 #define ACACIACROSS_NODE_METRICSSOURCE_H
 
 #include "Forwarding/ServiceRegistry.h"
+#include "Gateway/ClientGuard.h"
 #include "Gateway/ForwardingHandler.h"
 #include "Gateway/PageSource.h"
 #include "Gateway/UpstreamSender.h"
@@ -14,6 +15,7 @@
 public:
   MetricsSource(const gateway::ForwardingHandler &Handler,
                 const gateway::UpstreamSender &Sender,
+                const gateway::ClientGuard &Clients,
                 forwarding::ServiceRegistry &Registry,
                 const logging::EventLog &Log, const common::Clock &TimeSource);
 
@@ -22,6 +24,7 @@
 private:
   const gateway::ForwardingHandler &Handler;
   const gateway::UpstreamSender &Sender;
+  const gateway::ClientGuard &Clients;
   forwarding::ServiceRegistry &Registry;
   const logging::EventLog &Log;
   const common::Clock &Time;
--- a/Source/Node/NodeSettings.h
+++ b/Source/Node/NodeSettings.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,9 @@
   forwarding::RetryBudgetSettings RetryBudget;
   /// Memory of this VM.
   std::size_t MemoryBytes = std::size_t{128} << 20;
+  /// Most sockets of this process; by default only the limit of the system
+  /// counts.
+  std::size_t MaxSockets = std::numeric_limits<std::size_t>::max();
   /// Maximum time until a change in the store is in effect on this VM.
   std::chrono::milliseconds MaxChangeDelay{3'000};
   /// Time from the stop signal until the process is killed.
--- a/Source/Node/TrafficThread.cpp
+++ b/Source/Node/TrafficThread.cpp
@@ -1,15 +1,21 @@
 #include "Node/TrafficThread.h"
 
+#include "Net/Sockets.h"
+
+#include <algorithm>
 #include <utility>
 
 namespace acaciacross::node {
 
 namespace {
 
-// Share of the memory for incomplete responses of searchers: 1 in this many.
-constexpr std::size_t ResponseMemoryDivisor = 4;
 constexpr std::chrono::milliseconds FinishCheckPeriod{50};
 
+/// Descriptors for sockets that this process may have open.
+std::size_t socketLimit(const NodeSettings &Settings) {
+  return std::min(Settings.MaxSockets, net::descriptorLimit());
+}
+
 } // namespace
 
 TrafficThread::TrafficThread(const NodeSettings &Settings,
@@ -18,26 +24,34 @@
                              logging::EventLog &Log)
     : Time(TimeSource), Loop(TimeSource), Handover(this->Loop, Log),
       Random(common::SeededRandom::fromSystem()),
-      Registry(Settings.RetryBudget),
+      Memory(gateway::MemoryShares::of(Settings.MemoryBytes)),
+      Descriptors(socketLimit(Settings)), Registry(Settings.RetryBudget),
       Sender(this->Loop, this->Registry, Encodings.searchers(), Log,
-             {Settings.FailureDomain,
-              Settings.MemoryBytes / ResponseMemoryDivisor}),
+             {Settings.FailureDomain, this->Memory.ResponseBytes}),
       Selector(this->Random, Settings.FailureDomain), Load(this->Sender),
       Admission({&this->Stop, &this->Reachability, &this->Load}),
       Dependencies{TimeSource,     this->Registry, this->Sender,
                    this->Selector, this->Hedges,   this->PartialAnswers},
       Requests(this->Loop, this->Dependencies, this->Admission,
                Encodings.callers(), Log),
-      Metrics(this->Requests, this->Sender, this->Registry, Log, TimeSource),
+      Clients(this->Loop, Log, this->Memory.CallerBytes),
+      CallerConnections(this->Descriptors, this->Sender),
+      PageConnections(this->Descriptors),
+      Metrics(this->Requests, this->Sender, this->Clients, this->Registry, Log,
+              TimeSource),
       Readiness(Encodings.readinessPage(*this)),
       Directory(Encodings.directoryPage(*this)), MetricsPages(this->Metrics),
       ReadinessPages(*this->Readiness), DirectoryPages(*this->Directory),
-      CallerListener(this->Loop, Settings.CallerAddress, this->Requests),
+      CallerListener(this->Loop, Settings.CallerAddress, this->Requests,
+                     this->Clients, this->CallerConnections),
       ReadinessListener(this->Loop, Settings.ReadinessAddress,
-                        this->ReadinessPages),
+                        this->ReadinessPages, this->Clients,
+                        this->PageConnections),
       DirectoryListener(this->Loop, Settings.DirectoryAddress,
-                        this->DirectoryPages),
-      MetricsListener(this->Loop, Settings.MetricsAddress, this->MetricsPages),
+                        this->DirectoryPages, this->Clients,
+                        this->PageConnections),
+      MetricsListener(this->Loop, Settings.MetricsAddress, this->MetricsPages,
+                      this->Clients, this->PageConnections),
       VmSelector(this->Random) {}
 
 TrafficThread::~TrafficThread() { this->stop(); }
--- a/Source/Node/TrafficThread.h
+++ b/Source/Node/TrafficThread.h
@@ -12,8 +12,13 @@
 #include "Forwarding/ServiceRegistry.h"
 #include "Forwarding/StopAdmission.h"
 #include "Forwarding/TailHedgePolicy.h"
+#include "Gateway/CallerAllowance.h"
+#include "Gateway/ClientGuard.h"
+#include "Gateway/DescriptorShares.h"
 #include "Gateway/ForwardingHandler.h"
 #include "Gateway/Listener.h"
+#include "Gateway/MemoryShares.h"
+#include "Gateway/PageAllowance.h"
 #include "Gateway/PageHandler.h"
 #include "Gateway/UpstreamSender.h"
 #include "Membership/StopSchedule.h"
@@ -75,6 +80,8 @@
   net::EventLoop Loop;
   TableHandover Handover;
   common::SeededRandom Random;
+  gateway::MemoryShares Memory;
+  gateway::DescriptorShares Descriptors;
   forwarding::ServiceRegistry Registry;
   gateway::UpstreamSender Sender;
   forwarding::LeastDelaySelector Selector;
@@ -86,6 +93,9 @@
   forwarding::AdmissionChain Admission;
   forwarding::ForwardingDependencies Dependencies;
   gateway::ForwardingHandler Requests;
+  gateway::ClientGuard Clients;
+  gateway::CallerAllowance CallerConnections;
+  gateway::PageAllowance PageConnections;
   MetricsSource Metrics;
   std::unique_ptr<gateway::PageSource> Readiness;
   std::unique_ptr<gateway::PageSource> Directory;
--- a/Source/UnitTests/Http/MessageParserTest.cpp
+++ b/Source/UnitTests/Http/MessageParserTest.cpp
@@ -78,7 +78,8 @@
 // parse it.
 TEST_F(MessageParserTest, ResponseWithAStatusOutOfRangeIsMalformed) {
   for (const std::string Status :
-       {"0", "2", "20", "99", "2 00", "600", "999", "1000", "-20", "2x0", ""}) {
+       {"0", "2", "20", "99", "2 00", "600", "999", "1000", "-20", "2x0", "",
+        "0200", "000", "+20", "abc", "00200"}) {
     ResponseParser Parser(1'024, 64);
     Parser.feed("HTTP/1.1 " + Status + " OK\r\nContent-Length: 0\r\n\r\n");
     EXPECT_EQ(Parser.problem(), ParseProblem::Malformed) << Status;
