--- a/Source/Gateway/DescriptorShares.cpp
+++ b/Source/Gateway/DescriptorShares.cpp
@@ -6,12 +6,14 @@
 
 namespace {
 
-// Readiness, addresses and metrics.
-constexpr std::size_t PagePorts = 3;
-// A crowd at a page port is turned over once in a short time, so the platform's
-// probes get their turn with a small share.
+// Callers ask for addresses all at once after the loss of many VMs.
+constexpr std::size_t DirectoryDivisor = 8;
+// The platform and the operators need a few connections. A crowd at a page port
+// is turned over in a short time, so their probes get a turn.
 constexpr std::size_t PageDivisor = 32;
 constexpr std::size_t MinPageConnections = 4;
+// Readiness and metrics.
+constexpr std::size_t PagePorts = 2;
 
 } // namespace
 
@@ -22,10 +24,14 @@
 std::size_t DescriptorShares::callers(std::size_t UpstreamConnections) const {
   const std::size_t Kept =
       std::max(this->Total / 4, UpstreamConnections + this->Total / 8) +
-      PagePorts * this->page();
+      this->directory() + PagePorts * this->page();
   return this->Total > Kept + 1 ? this->Total - Kept : 1;
 }
 
+std::size_t DescriptorShares::directory() const {
+  return std::max(MinPageConnections, this->Total / DirectoryDivisor);
+}
+
 std::size_t DescriptorShares::page() const {
   return std::max(MinPageConnections, this->Total / PageDivisor);
 }
--- a/Source/Gateway/DescriptorShares.h
+++ b/Source/Gateway/DescriptorShares.h
@@ -14,7 +14,9 @@
   /// Most connections of callers. UpstreamConnections: connections to searchers
   /// now.
   std::size_t callers(std::size_t UpstreamConnections) const;
-  /// Most connections of one page port.
+  /// Most connections of the port that names addresses to callers.
+  std::size_t directory() const;
+  /// Most connections of each other page port.
   std::size_t page() const;
 
 private:
--- a/Source/Gateway/Listener.cpp
+++ b/Source/Gateway/Listener.cpp
@@ -97,8 +97,19 @@
   return true;
 }
 
+// The allowance of callers counts the connections to all searchers, which would
+// cost more than the rest of accepting a connection.
+std::size_t Listener::maxConnections() {
+  const common::MonotonicTime Now = this->Loop.now();
+  if (!this->MaxComputedAt || Now - *this->MaxComputedAt >= ResumePeriod) {
+    this->MaxConnections = this->Allowance.maxConnections();
+    this->MaxComputedAt = Now;
+  }
+  return this->MaxConnections;
+}
+
 bool Listener::hasRoom() {
-  const std::size_t Max = this->Allowance.maxConnections();
+  const std::size_t Max = this->maxConnections();
   return this->Connections.size() < Max || this->size() < Max;
 }
 
@@ -110,7 +121,7 @@
       Idle.push_back(Connection);
       Claims.push_back(*Claim);
     }
-  const std::size_t Count = this->Allowance.maxConnections() / RoomDivisor + 1;
+  const std::size_t Count = this->maxConnections() / RoomDivisor + 1;
   for (const std::size_t I : IdleSelector::select(
            Claims, Count, this->Allowance.minIdleTime(), this->Loop.now())) {
     this->Guard.noteEnd(ClientEnd::Idle);
--- a/Source/Gateway/Listener.h
+++ b/Source/Gateway/Listener.h
@@ -37,6 +37,7 @@
   void onReady(std::uint32_t Events) override;
   /// Returns false when no connection is waiting.
   bool acceptNext();
+  std::size_t maxConnections();
   bool hasRoom();
   /// Closes connections on which nothing moves.
   void makeRoom();
@@ -55,6 +56,9 @@
   std::unordered_map<ServerConnection *, std::shared_ptr<ServerConnection>>
       Connections;
   std::size_t CleanupThreshold;
+  std::size_t MaxConnections = 0;
+  /// When MaxConnections was computed.
+  std::optional<common::MonotonicTime> MaxComputedAt;
   common::MonotonicTime PausedAt;
   std::optional<net::TimerId> ResumeTimer;
 };
--- a/Source/Gateway/PageAllowance.cpp
+++ b/Source/Gateway/PageAllowance.cpp
@@ -9,10 +9,11 @@
 
 } // namespace
 
-PageAllowance::PageAllowance(const DescriptorShares &Shares) : Shares(Shares) {}
+PageAllowance::PageAllowance(std::size_t MaxConnections)
+    : MaxConnections(MaxConnections) {}
 
 std::size_t PageAllowance::maxConnections() const {
-  return this->Shares.page();
+  return this->MaxConnections;
 }
 
 std::chrono::milliseconds PageAllowance::minIdleTime() const {
--- a/Source/Gateway/PageAllowance.h
+++ b/Source/Gateway/PageAllowance.h
@@ -2,20 +2,19 @@
 #define ACACIACROSS_GATEWAY_PAGEALLOWANCE_H
 
 #include "Gateway/ConnectionAllowance.h"
-#include "Gateway/DescriptorShares.h"
 
 namespace acaciacross::gateway {
 
 /// Connections of one page port.
 class PageAllowance final : public ConnectionAllowance {
 public:
-  explicit PageAllowance(const DescriptorShares &Shares);
+  explicit PageAllowance(std::size_t MaxConnections);
 
   std::size_t maxConnections() const override;
   std::chrono::milliseconds minIdleTime() const override;
 
 private:
-  const DescriptorShares &Shares;
+  std::size_t MaxConnections;
 };
 
 } // namespace acaciacross::gateway
--- a/Source/Node/NodeSettings.h
+++ b/Source/Node/NodeSettings.h
@@ -7,7 +7,7 @@
 
 #include <chrono>
 #include <cstddef>
-#include <limits>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,9 +36,8 @@
   forwarding::RetryBudgetSettings RetryBudget;
   /// Memory of this VM.
   std::size_t MemoryBytes = std::size_t{128} << 20;
-  /// Most sockets of this process; by default only the limit of the system
-  /// counts.
-  std::size_t MaxSockets = std::numeric_limits<std::size_t>::max();
+  /// Most sockets of this process; by default the limit of the system counts.
+  std::optional<std::size_t> MaxSockets;
   /// Maximum time until a change in the store is in effect on this VM.
   std::chrono::milliseconds MaxChangeDelay{3'000};
   /// Time from the stop signal until the process is killed.
--- a/Source/Node/TrafficThread.cpp
+++ b/Source/Node/TrafficThread.cpp
@@ -2,7 +2,6 @@
 
 #include "Net/Sockets.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace acaciacross::node {
@@ -13,7 +12,7 @@
 
 /// Descriptors for sockets that this process may have open.
 std::size_t socketLimit(const NodeSettings &Settings) {
-  return std::min(Settings.MaxSockets, net::descriptorLimit());
+  return Settings.MaxSockets.value_or(net::descriptorLimit());
 }
 
 } // namespace
@@ -36,7 +35,8 @@
                Encodings.callers(), Log),
       Clients(this->Loop, Log, this->Memory.CallerBytes),
       CallerConnections(this->Descriptors, this->Sender),
-      PageConnections(this->Descriptors),
+      DirectoryConnections(this->Descriptors.directory()),
+      PageConnections(this->Descriptors.page()),
       Metrics(this->Requests, this->Sender, this->Clients, this->Registry, Log,
               TimeSource),
       Readiness(Encodings.readinessPage(*this)),
@@ -49,7 +49,7 @@
                         this->PageConnections),
       DirectoryListener(this->Loop, Settings.DirectoryAddress,
                         this->DirectoryPages, this->Clients,
-                        this->PageConnections),
+                        this->DirectoryConnections),
       MetricsListener(this->Loop, Settings.MetricsAddress, this->MetricsPages,
                       this->Clients, this->PageConnections),
       VmSelector(this->Random) {}
--- a/Source/Node/TrafficThread.h
+++ b/Source/Node/TrafficThread.h
@@ -95,6 +95,7 @@
   gateway::ForwardingHandler Requests;
   gateway::ClientGuard Clients;
   gateway::CallerAllowance CallerConnections;
+  gateway::PageAllowance DirectoryConnections;
   gateway::PageAllowance PageConnections;
   MetricsSource Metrics;
   std::unique_ptr<gateway::PageSource> Readiness;
--- a/Source/UnitTests/Http/MessageParserTest.cpp
+++ b/Source/UnitTests/Http/MessageParserTest.cpp
@@ -57,6 +57,35 @@
   EXPECT_EQ(SmallBodyParser.problem(), ParseProblem::BodyTooLarge);
 }
 
+// A field of a few bytes takes over 100 in memory.
+TEST_F(MessageParserTest, HeadWithVeryManyFieldsIsTooLarge) {
+  RequestParser Parser(16'384, 64);
+  Parser.feed("GET / HTTP/1.1\r\n");
+  for (int I = 0; I < 512; ++I)
+    Parser.feed("a:\r\n");
+  EXPECT_EQ(Parser.problem(), ParseProblem::None);
+  EXPECT_GT(Parser.heldBytes(), 512 * sizeof(Header));
+  Parser.feed("a:\r\n\r\n");
+  EXPECT_EQ(Parser.problem(), ParseProblem::HeadTooLarge);
+}
+
+// Guards against a dropped body that is no longer bounded, or becomes part of
+// the next request.
+TEST_F(MessageParserTest, DroppedBodyIsCountedButNotKept) {
+  const std::string Head = "POST / HTTP/1.1\r\nContent-Length: 60\r\n\r\n";
+  this->Requests.feed(Head);
+  this->Requests.dropBody();
+  this->Requests.feed(std::string(60, 'b'));
+  ASSERT_TRUE(this->Requests.isComplete());
+  const Request Received = this->Requests.take();
+  EXPECT_TRUE(Received.IsBodyDropped);
+  EXPECT_TRUE(Received.Body.empty());
+  this->Requests.feed("POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n");
+  this->Requests.dropBody();
+  this->Requests.feed(std::string(65, 'b'));
+  EXPECT_EQ(this->Requests.problem(), ParseProblem::BodyTooLarge);
+}
+
 // Guards against a response without a length that is never complete.
 TEST_F(MessageParserTest, ResponseWithoutLengthEndsWithTheConnection) {
   this->Responses.feed("HTTP/1.1 200 OK\r\n\r\nabc");
--- a/Source/UnitTests/platform/SettingsDecoderTest.cpp
+++ b/Source/UnitTests/platform/SettingsDecoderTest.cpp
@@ -53,6 +53,14 @@
   EXPECT_EQ(Settings.StopLimit, std::chrono::milliseconds(6'000));
 }
 
+// Guards against connections of callers that take the descriptors which the
+// platform reserves for files.
+TEST_F(SettingsDecoderTest, SocketsAreDescriptorsWithoutThoseForFiles) {
+  EXPECT_FALSE(SettingsDecoder::decode(this->Text, 9464).MaxSockets);
+  const std::string Limits = this->Text + "[limits]\nmax_fds = 4100\n";
+  EXPECT_EQ(SettingsDecoder::decode(Limits, 9464).MaxSockets, 3'900U);
+}
+
 // The settings list seeds with a TCP port that this program does not open, so a
 // probe to that port would get no answer. All VMs share the peer port.
 TEST_F(SettingsDecoderTest, SeedsUseThePeerPort) {
