Gateway: closed connections hold no memory

The listener keeps closed connections until it has many of them, with what they had buffered, so that the memory of a crowd stayed resident after it had left.

--- a/Source/Gateway/ServerConnection.cpp
+++ b/Source/Gateway/ServerConnection.cpp
@@ -97,6 +97,11 @@
   this->Guard.remove(*this);
   this->Guard.update(this->AccountedBytes, 0);
   this->AccountedBytes = 0;
+  // The listener keeps closed connections for a while.
+  std::string().swap(this->Input);
+  std::string().swap(this->Output);
+  this->SentBytes = 0;
+  this->Parser.drop();
   const std::shared_ptr<ServerConnection> Self = this->shared_from_this();
   this->Loop.retire(Self);
   this->Handler.onClosed(*this);
