--- a/Source/Net/Sockets.h
+++ b/Source/Net/Sockets.h
@@ -22,6 +22,8 @@
 
 /// The IP address of the peer; empty when the socket is not connected.
 std::string remoteHost(const Descriptor &Socket);
+/// Number of descriptors that this process may have open.
+std::size_t descriptorLimit();
 
 /// Number of sent bytes that the peer has not acknowledged; 0 when unknown.
 std::size_t unacknowledgedBytes(const Descriptor &Socket);
--- a/Source/Node/NodeSettings.h
+++ b/Source/Node/NodeSettings.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,8 @@
   forwarding::ColdStartSettings ColdStart;
   /// Memory of this VM.
   std::size_t MemoryBytes = std::size_t{128} << 20;
+  /// Most sockets of this process; by default the limit of the system counts.
+  std::optional<std::size_t> MaxSockets;
   /// Maximum time until a change in the store is in effect on this VM.
   std::chrono::milliseconds MaxChangeDelay{3'000};
   /// Time from the stop signal until the process is killed.
