UnitTests: braces where GCC warns of an ambiguous else

GCC reports -Wdangling-else at three expectations of StoreEraPropagationTest, as EXPECT macros expand to an if. Braces are added; nothing else changes.

--- a/Source/UnitTests/Discovery/StoreEraPropagationTest.cpp
+++ b/Source/UnitTests/Discovery/StoreEraPropagationTest.cpp
@@ -229,8 +229,9 @@
     EXPECT_GE(Version, Checked.MaxVersion) << "a version went back";
     Checked.MaxVersion = Version;
     const StorePosition Known = Checked.State.position();
-    if (Known.Era > 0)
+    if (Known.Era > 0) {
       EXPECT_GE(Version, versionOf(this->Store->value("routes", Known)));
+    }
     const common::MonotonicTime Now = this->Time.monotonicNow();
     const common::MonotonicTime InformedAt =
         Now - Checked.Policy.answerAge(Now);
@@ -238,8 +239,9 @@
     const auto Later = std::ranges::upper_bound(this->StoreVersions, InformedAt,
                                                 {}, &StoreVersion::Since);
     if (Later != this->StoreVersions.begin() &&
-        std::prev(Later)->Era == Known.Era)
+        std::prev(Later)->Era == Known.Era) {
       EXPECT_GE(Version, std::prev(Later)->Version) << "of an answer";
+    }
   }
 
   /// A run that drains or has left is not used again.
@@ -249,9 +251,10 @@
       const std::string &Key = Entry.Id.Value;
       Listed.insert(Key);
       const auto Ended = Checked.EndedRuns.find(Key);
-      if (Ended != Checked.EndedRuns.end())
+      if (Ended != Checked.EndedRuns.end()) {
         EXPECT_TRUE(Entry.IsDraining || Entry.StartedUnixMs > Ended->second)
             << Key << " is back";
+      }
       if (Entry.IsDraining)
         Checked.EndedRuns[Key] = Entry.StartedUnixMs;
     }
