--- a/Source/Gateway/ServerConnection.cpp
+++ b/Source/Gateway/ServerConnection.cpp
@@ -80,7 +80,9 @@
     this->ClosesAfterOutput = true;
     return;
   }
-  if (this->Parser.hasStarted() || !this->HasReadRequest)
+  // A buffered request is parsed in the next round.
+  if (this->Parser.hasStarted() || !this->HasReadRequest ||
+      !this->Input.empty())
     this->armTimer();
   else
     this->close();
