Http, Gateway: a legal head of very many short fields is served in calm

Change: the bound is gone; a head counts with its true memory, as before, and the crowd pays through PayerSelector. A complete request that does not fit begins only if it takes no more than an equal share (PayerSelector::admits), because requests in progress are not ended.

--- a/Source/Gateway/ClientGuard.cpp
+++ b/Source/Gateway/ClientGuard.cpp
@@ -52,6 +52,11 @@
     this->armReport();
 }
 
+bool ClientGuard::admits(std::size_t RequestBytes) const {
+  return this->Payers.admits(RequestBytes, this->Held,
+                             this->Connections.size());
+}
+
 void ClientGuard::noteEnd(ClientEnd Cause) {
   ++this->Ends[indexOf(Cause)];
   this->armReport();
--- a/Source/Gateway/ClientGuard.h
+++ b/Source/Gateway/ClientGuard.h
@@ -33,6 +33,9 @@
   void remove(ServerConnection &Connection);
   /// A connection holds After bytes instead of Before.
   void update(std::size_t Before, std::size_t After);
+  /// Whether a complete request, whose memory is included in the last update,
+  /// may begin.
+  bool admits(std::size_t RequestBytes) const;
   void noteEnd(ClientEnd Cause);
   /// A listener stopped accepting, because it has all the connections that it
   /// may have or because no descriptor is free.
--- a/Source/Gateway/PayerSelector.cpp
+++ b/Source/Gateway/PayerSelector.cpp
@@ -45,4 +45,11 @@
   return Candidates;
 }
 
+// Requests within an equal share take no more than the limit once more, all
+// together, and ordinary callers have small ones.
+bool PayerSelector::admits(std::size_t RequestBytes, std::size_t Held,
+                           std::size_t Connections) const {
+  return Held <= this->MaxBytes || RequestBytes * Connections <= this->MaxBytes;
+}
+
 } // namespace acaciacross::gateway
--- a/Source/Gateway/PayerSelector.h
+++ b/Source/Gateway/PayerSelector.h
@@ -9,8 +9,8 @@
 
 namespace acaciacross::gateway {
 
-/// Decides which connections of callers end when together they hold too much
-/// memory.
+/// Decides which connections of callers end, and which requests begin, when
+/// together they hold too much memory.
 class PayerSelector {
 public:
   explicit PayerSelector(std::size_t MaxBytes);
@@ -21,6 +21,12 @@
   std::vector<std::size_t> select(std::span<const MemoryClaim> Claims,
                                   common::MonotonicTime Now) const;
 
+  /// Whether a complete request may begin. Held: memory of all connections with
+  /// this one. Requests in progress can't be ended, so while these hold the
+  /// memory, only requests begin that take no more than an equal share.
+  bool admits(std::size_t RequestBytes, std::size_t Held,
+              std::size_t Connections) const;
+
 private:
   std::size_t MaxBytes;
 };
--- a/Source/Gateway/ServerConnection.cpp
+++ b/Source/Gateway/ServerConnection.cpp
@@ -269,6 +269,11 @@
 }
 
 void ServerConnection::dispatchRequest() {
+  this->account();
+  if (!this->Guard.admits(this->Parser.heldBytes())) {
+    this->shed();
+    return;
+  }
   this->RequestBytes = this->Parser.heldBytes();
   http::Request Request = this->Parser.take();
   this->HasSentContinue = false;
--- a/Source/Http/MessageParser.cpp
+++ b/Source/Http/MessageParser.cpp
@@ -1,20 +1,11 @@
 #include "Http/MessageParser.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace acaciacross::http {
 
 namespace {
 
-// A short field takes several times its size in memory, so a head of the
-// largest size could take many times that. Heads whose fields take this many
-// bytes on average never meet the limit; those of browsers and libraries take
-// more.
-constexpr std::size_t BytesPerField = 32;
-// For small limits of the head.
-constexpr std::size_t MinMaxFields = 128;
-
 // The vector of fields doubles its capacity.
 constexpr std::size_t BytesPerEntry = 2 * sizeof(Header);
 
@@ -37,7 +28,6 @@
   this->HeadBytes = 0;
   this->HeadPartBytes = 0;
   this->FieldMemory = 0;
-  this->FieldCount = 0;
   this->BodyBytes = 0;
   this->DiscardsBody = false;
   this->Fields = HeaderList();
@@ -138,10 +128,6 @@
   MessageParser &Self = fromParser(RawParser);
   if (Self.IsInValue)
     Self.finishField();
-  if (Self.FieldCount >= Self.maxFields()) {
-    Self.Problem = ParseProblem::HeadTooLarge;
-    return -1;
-  }
   Self.FieldName.append(At, Length);
   return Self.countHeadBytes(Length);
 }
@@ -198,16 +184,11 @@
   return -1;
 }
 
-std::size_t MessageParser::maxFields() const {
-  return std::max(MinMaxFields, this->MaxHeadBytes / BytesPerField);
-}
-
 // Trailer fields arrive after the head and are dropped. http-parser accepts
 // names with blanks, which other parsers read in another way or not at all.
 void MessageParser::finishField() {
   if (!HeaderList::isValidField(this->FieldName, this->FieldValue))
     this->reject();
-  ++this->FieldCount;
   if (!this->HeadComplete) {
     this->FieldMemory += BytesPerEntry + allocatedBytes(this->FieldName) +
                          allocatedBytes(this->FieldValue);
--- a/Source/Http/MessageParser.h
+++ b/Source/Http/MessageParser.h
@@ -70,8 +70,6 @@
 
   /// Returns 0, or -1 when the head is larger than allowed.
   int countHeadBytes(std::size_t Length);
-  /// Most fields of a head.
-  std::size_t maxFields() const;
   void finishField();
 
   http_parser Parser{};
@@ -82,7 +80,6 @@
   std::size_t HeadPartBytes = 0;
   /// Memory of the fields that are complete.
   std::size_t FieldMemory = 0;
-  std::size_t FieldCount = 0;
   std::size_t BodyBytes = 0;
   bool DiscardsBody = false;
   HeaderList Fields;
--- a/Source/UnitTests/Gateway/PayerSelectorTest.cpp
+++ b/Source/UnitTests/Gateway/PayerSelectorTest.cpp
@@ -53,6 +53,15 @@
             1U);
 }
 
+// Guards against requests in progress, which can't be ended, that together take
+// more than the limit.
+TEST_F(PayerSelectorTest, LargeRequestDoesNotBeginAboveLimit) {
+  EXPECT_TRUE(this->Selector.admits(300, 800, 10));
+  EXPECT_FALSE(this->Selector.admits(300, 801, 10));
+  EXPECT_TRUE(this->Selector.admits(80, 2'000, 10)) << "an equal share";
+  EXPECT_FALSE(this->Selector.admits(81, 2'000, 10));
+}
+
 // Guards against answers that are lost while searchers work on them.
 TEST_F(PayerSelectorTest, RequestsInProgressAreSpared) {
   EXPECT_EQ(
