Forwarding: a route yields only to one that has been refused more often

Cause: DemandShares let a less urgent request yield also when both routes had been served equally often, so while no urgent request had been refused at all, any queue above half of its allowed wait (about 10 ms for a target of 80 ms) refused the others. Pauses of searchers bring such queues all the time. Change: it yields only if its own route has been served more often. AdmissionLoadTest.NobodyYieldsWhileUrgentRequestsAreServed fails with the old comparison (0.99986 instead of 1). Also the format of FindFreeAddress.h.

--- a/Source/Forwarding/DemandShares.cpp
+++ b/Source/Forwarding/DemandShares.cpp
@@ -89,7 +89,7 @@
     const ServedShare Share = Other->Share.at(Now);
     const bool MustYield =
         Other->Target.Priority < Target.Priority
-            ? Own.ratio() >= Share.ratio()
+            ? Own.ratio() > Share.ratio()
             : Share.isStarved(All) && Own.ratio() >= All.ratio();
     if (MustYield && IsShort(*Other))
       return &Other->Target;
--- a/Source/Forwarding/DemandShares.h
+++ b/Source/Forwarding/DemandShares.h
@@ -12,8 +12,8 @@
 namespace acaciacross::forwarding {
 
 /// Decides which requests leave room for others while there is too little for
-/// all: the less urgent ones, as far as they have been served at least as often
-/// as the more urgent ones, and those of callers that ask for more than their
+/// all: the less urgent ones, as far as they have been served more often than
+/// the more urgent ones, and those of callers that ask for more than their
 /// share. No route is starved. Counts the recent requests of this VM.
 class DemandShares {
 public:
--- a/Source/TestSupport/FindFreeAddress.h
+++ b/Source/TestSupport/FindFreeAddress.h
@@ -5,8 +5,8 @@
 
 namespace acaciacross::testsupport {
 
-/// A loopback address with a free TCP port, another one with each call. The host
-/// is not used by other processes that call this. Not thread-safe.
+/// A loopback address with a free TCP port, another one with each call. The
+/// host is not used by other processes that call this. Not thread-safe.
 common::Address findFreeAddress();
 
 } // namespace acaciacross::testsupport
--- a/Source/UnitTests/Forwarding/AdmissionLoadTest.cpp
+++ b/Source/UnitTests/Forwarding/AdmissionLoadTest.cpp
@@ -66,6 +66,8 @@
   }
 
   std::map<std::string, Counts> ByCaller;
+  /// Requests in the queue of the searcher.
+  double Waiting = 0.0;
 
 private:
   void ask(const std::shared_ptr<const RoutingTable> &Table,
@@ -89,7 +91,6 @@
     this->Waiting += 1.0;
   }
 
-  double Waiting = 0.0;
   DemandShares Demand;
   LoadAdmission Policy{this->Sender, this->Demand, this->Random};
 };
@@ -145,4 +146,15 @@
     EXPECT_EQ(this->ByCaller.at(Caller).share(), 1.0) << Caller;
 }
 
+// A queue that urgent requests can bear is no reason to refuse others:
+// searchers pause for a moment all the time.
+TEST_F(AdmissionLoadTest, NobodyYieldsWhileUrgentRequestsAreServed) {
+  this->Waiting = 5.0;
+  this->play({this->addRoute("urgent", 0, milliseconds(60)),
+              this->addRoute("batch", 1, milliseconds(150))},
+             {{"urgent", 0, 0.05}, {"batch", 1, 0.35}});
+  for (const char *Caller : {"urgent", "batch"})
+    EXPECT_EQ(this->ByCaller.at(Caller).share(), 1.0) << Caller;
+}
+
 } // namespace acaciacross::forwarding
