Forwarding: hardly used routes take no room from others

Cause: DemandShares took any route with a recent request for one that may be starved. A route with a single refused request has a served share of 0, and its latency is not known, so it seems to wait long; all others then left room for it. Change: a route counts for others only with ten recent requests at this VM.

--- a/Source/Forwarding/DemandShares.cpp
+++ b/Source/Forwarding/DemandShares.cpp
@@ -15,8 +15,10 @@
 // share.
 constexpr std::size_t MaxCallers = 4'096;
 
-// Fewer recent requests tell nothing of how much a caller asks for.
-constexpr double MinPressingCount = 10.0;
+// Fewer recent requests tell nothing of how much a caller asks for, or how
+// often a route is served: one refused request of a route that is hardly used
+// would make all others leave room for it.
+constexpr double MinTellingCount = 10.0;
 // Callers differ in how many people use them; only clearly more than the mean
 // is pressing.
 constexpr double PressingFactor = 2.0;
@@ -76,7 +78,8 @@
     if (Name == Target.Name)
       Own = Share;
     else if (Demand.Target.Priority != Target.Priority &&
-             Share.Asked > FadedCount && haveCommon(Demand.Services, Services))
+             Share.Asked >= MinTellingCount &&
+             haveCommon(Demand.Services, Services))
       Others.push_back(&Demand);
     else
       continue;
@@ -109,7 +112,7 @@
   const double Own = Found->second.at(Now).Served;
   const double Mean = Demand->second.Share.at(Now).Served /
                       static_cast<double>(Callers->second.size());
-  return Own >= MinPressingCount && Own > PressingFactor * Mean;
+  return Own >= MinTellingCount && Own > PressingFactor * Mean;
 }
 
 void DemandShares::dropFaded(common::MonotonicTime Now) {
--- a/Source/UnitTests/Forwarding/AdmissionLoadTest.cpp
+++ b/Source/UnitTests/Forwarding/AdmissionLoadTest.cpp
@@ -146,6 +146,19 @@
     EXPECT_EQ(this->ByCaller.at(Caller).share(), 1.0) << Caller;
 }
 
+// A refused request of a route that is hardly used tells nothing of how often
+// the route is served. Its latency is not known, so that it seems to wait long.
+TEST_F(AdmissionLoadTest, NobodyYieldsToARouteThatIsHardlyUsed) {
+  this->Waiting = 20.0;
+  Route Rare = plainRoute(Repeatability::Repeatable);
+  Rare.Name = "rare";
+  Rare.Priority = 1;
+  Rare.LatencyTarget = milliseconds(1'000);
+  this->play({Rare, this->addRoute("usual", 0, milliseconds(400))},
+             {{"rare", 0, 0.0005}, {"usual", 1, 0.4}});
+  EXPECT_EQ(this->ByCaller.at("usual").share(), 1.0);
+}
+
 // A queue that urgent requests can bear is no reason to refuse others:
 // searchers pause for a moment all the time.
 TEST_F(AdmissionLoadTest, NobodyYieldsWhileUrgentRequestsAreServed) {
