UnitTests: the peer's address is the one that its socket has

Cause: SocketsTest took the listening host for the host of the connecting socket. Change: the expected host is read from the connecting socket; the check is as strict.

--- a/Source/UnitTests/Net/SocketsTest.cpp
+++ b/Source/UnitTests/Net/SocketsTest.cpp
@@ -4,7 +4,12 @@
 
 #include <gtest/gtest.h>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
 #include <poll.h>
+#include <sys/socket.h>
+
+#include <array>
 
 namespace acaciacross::net {
 
@@ -17,7 +22,14 @@
   const Descriptor Peer = beginConnect(Local);
   pollfd Pending{Listening.get(), POLLIN, 0};
   ASSERT_EQ(::poll(&Pending, 1, 5'000), 1);
-  EXPECT_EQ(remoteHost(acceptFrom(Listening)), Local.Host);
+  sockaddr_in Chosen{};
+  socklen_t Size = sizeof Chosen;
+  ASSERT_EQ(
+      ::getsockname(Peer.get(), reinterpret_cast<sockaddr *>(&Chosen), &Size),
+      0);
+  std::array<char, INET_ADDRSTRLEN> Text{};
+  ::inet_ntop(AF_INET, &Chosen.sin_addr, Text.data(), Text.size());
+  EXPECT_EQ(remoteHost(acceptFrom(Listening)), Text.data());
   EXPECT_EQ(remoteHost(Listening), "");
 }
 
