--- a/review/support-2/harness.hh
+++ b/review/support-2/harness.hh
@@ -157,6 +157,8 @@
   /// 0: the system's default.
   int ReceiveBufferBytes = 0;
   int MaxSegmentBytes = 0;
+  /// Of clients only.
+  int SendBufferBytes = 0;
   /// Whether requests are read; may become false at any time.
   const std::atomic<bool> *Reads = nullptr;
 };
@@ -614,6 +616,9 @@
     if (Options.MaxSegmentBytes > 0)
       setsockopt(this->Fd, IPPROTO_TCP, TCP_MAXSEG, &Options.MaxSegmentBytes,
                  sizeof(int));
+    if (Options.SendBufferBytes > 0)
+      setsockopt(this->Fd, SOL_SOCKET, SO_SNDBUF, &Options.SendBufferBytes,
+                 sizeof(int));
     const int On = 1;
     setsockopt(this->Fd, IPPROTO_TCP, TCP_NODELAY, &On, sizeof On);
     const sockaddr_in Address = socketAddress(Host, Port);
